--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,129 @@
+package event
+
+import (
+	"github.com/go-logr/logr"
+)
+
+type (
+	// ID is the number of an event.
+	ID int
+
+	// Entry describes an event in the catalogue.
+	Entry struct {
+		ID      ID
+		Name    string
+		Meaning string
+	}
+
+	// Log writes events.
+	Log struct {
+		l logr.Logger
+	}
+)
+
+// The events. The thousands tell the part: 1 jobs, 2 requests, 3 placement and
+// shards, 4 configuration, 5 membership and process.
+const (
+	JobAccepted   ID = 1001
+	JobRefused    ID = 1002
+	JobCancel     ID = 1003
+	JobEnded      ID = 1004
+	RequestRouted ID = 2001
+	RequestDone   ID = 2002
+	RequestNotRun ID = 2003
+	RequestLost   ID = 2004
+	RequestClaim  ID = 2005
+	JobPlaced     ID = 3001
+	JobWaits      ID = 3002
+	JobStarted    ID = 3003
+	JobAborted    ID = 3004
+	JobRequeued   ID = 3005
+	JobReclaimed  ID = 3006
+	JobMoved      ID = 3007
+	WorkerLost    ID = 3010
+	WorkerBack    ID = 3011
+	WorkerBarred  ID = 3012
+	LeaseTaken    ID = 3020
+	LeaseLost     ID = 3021
+	LeaseReleased ID = 3022
+	ShardReady    ID = 3023
+	StoreDown     ID = 3030
+	StoreBack     ID = 3031
+	ConfigApplied ID = 4001
+	ConfigRefused ID = 4002
+	ConfigInForce ID = 4003
+	DomainOut     ID = 4004
+	DomainIn      ID = 4005
+	InstanceReady ID = 5001
+	InstanceStop  ID = 5002
+	InstanceEnded ID = 5003
+	PeerFound     ID = 5004
+	PeerLost      ID = 5005
+	LinkBytes     ID = 5006
+)
+
+var catalogue = []Entry{
+	{JobAccepted, "jobAccepted", "A job was stored and assigned to a shard."},
+	{JobRefused, "jobRefused", "A job was refused and not stored; reason says why."},
+	{JobCancel, "jobCancel", "A caller asked to cancel a job."},
+	{JobEnded, "jobEnded", "A job reached a final state."},
+	{RequestRouted, "requestRouted", "A request was sent to an endpoint; reason says why that one."},
+	{RequestDone, "requestDone", "A whole answer was returned to the caller."},
+	{RequestNotRun, "requestNotRun", "A request was refused and was not run."},
+	{RequestLost, "requestLost", "A request may have run, but its answer is not known."},
+	{RequestClaim, "requestClaim", "A non-idempotent request met an earlier claim of its identifier."},
+	{JobPlaced, "jobPlaced", "The shard owner chose workers for all members of a job."},
+	{JobWaits, "jobWaits", "A job was considered and waits; reason says why."},
+	{JobStarted, "jobStarted", "All members of a gang are known to run."},
+	{JobAborted, "jobAborted", "A start was given up; all members were told to stop."},
+	{JobRequeued, "jobRequeued", "A gang was taken down and waits for its next attempt."},
+	{JobReclaimed, "jobReclaimed", "A job on lent capacity was stopped for a guarantee."},
+	{JobMoved, "jobMoved", "A waiting job was given to another shard."},
+	{WorkerLost, "workerLost", "A worker does not answer."},
+	{WorkerBack, "workerBack", "A worker answers again."},
+	{WorkerBarred, "workerBarred", "A worker was quarantined because work fails on it."},
+	{LeaseTaken, "leaseTaken", "This instance became the owner of a shard."},
+	{LeaseLost, "leaseLost", "This instance is no longer the owner of a shard."},
+	{LeaseReleased, "leaseReleased", "This instance handed a shard over."},
+	{ShardReady, "shardReady", "All workers of a shard that answer are fenced and read."},
+	{StoreDown, "storeDown", "The table service does not answer."},
+	{StoreBack, "storeBack", "The table service answers again."},
+	{ConfigApplied, "configApplied", "A change of the configuration was committed by this instance."},
+	{ConfigRefused, "configRefused", "A change of the configuration was refused."},
+	{ConfigInForce, "configInForce", "A configuration version is in force at this instance."},
+	{DomainOut, "domainOut", "An operator took a failure domain out of service."},
+	{DomainIn, "domainIn", "An operator brought a failure domain back into service."},
+	{InstanceReady, "instanceReady", "This instance takes requests."},
+	{InstanceStop, "instanceStop", "A planned stop of this instance began."},
+	{InstanceEnded, "instanceEnded", "This instance ends; nothing is in flight unless cutOff is above 0."},
+	{PeerFound, "peerFound", "Another instance answers."},
+	{PeerLost, "peerLost", "Another instance no longer answers."},
+	{LinkBytes, "linkBytes", "Bytes sent between regions since the last report, by kind."},
+}
+
+// New returns a log that writes to l.
+func New(l logr.Logger) Log { return Log{l: l} }
+
+// Discard returns a log that writes nothing.
+func Discard() Log { return Log{l: logr.Discard()} }
+
+// With returns a log that adds the pairs to each event.
+func (l Log) With(pairs ...any) Log { return Log{l: l.l.WithValues(pairs...)} }
+
+// Write writes an event with pairs of keys and values.
+func (l Log) Write(id ID, pairs ...any) {
+	l.l.Info(id.String(), append([]any{"event", int(id)}, pairs...)...)
+}
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Entry { return append([]Entry(nil), catalogue...) }
+
+// String returns the name of the event.
+func (id ID) String() string {
+	for _, e := range catalogue {
+		if e.ID == id {
+			return e.Name
+		}
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,28 @@
+package event
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// TestCatalogue guards against an event that is missing from the operators'
+// page, or whose number or meaning changed without a change of that page.
+func TestCatalogue(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Log events\n\nEach line of the log that reports a decision has the key `event` with one of these numbers.\n")
+	b.WriteString("A number never changes its meaning.\n\n| number | name | meaning |\n| --- | --- | --- |\n")
+	seen := make(map[ID]bool)
+	last := ID(0)
+	for _, e := range Catalogue() {
+		assert.Assert(t, !seen[e.ID], "number %d stands twice", e.ID)
+		assert.Assert(t, e.ID > last, "number %d is out of order", e.ID)
+		seen[e.ID], last = true, e.ID
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", e.ID, e.Name, e.Meaning)
+	}
+	// The operators' page itself is the golden file.
+	golden.Assert(t, b.String(), "../../../docs/events.md")
+}
--- /dev/null
+++ b/internal/record/key.go
@@ -0,0 +1,59 @@
+package record
+
+import (
+	"strings"
+
+	"github.com/baobabquay/baobabquay/internal/ident"
+)
+
+// The keys of the rows.
+const (
+	ConfigKey    = "config/current"
+	MemberPrefix = "member/"
+	leasePrefix  = "lease/"
+	jobPrefix    = "job/"
+	queuePrefix  = "queue/"
+	claimPrefix  = "claim/"
+	resultPrefix = "result/"
+)
+
+// LeaseKey returns the key of the lease on a shard.
+func LeaseKey(d ident.Domain) string { return leasePrefix + string(d) }
+
+// MemberKey returns the key of an instance's row.
+func MemberKey(i ident.Instance) string { return MemberPrefix + string(i) }
+
+// JobKey returns the key of a job's row.
+func JobKey(w ident.Workspace, j ident.Job) string { return JobsOf(w) + string(j) }
+
+// JobsOf returns the prefix of the job rows of a workspace.
+func JobsOf(w ident.Workspace) string { return jobPrefix + string(w) + "/" }
+
+// QueueKey returns the key of a job's entry in the queue of a shard.
+func QueueKey(d ident.Domain, w ident.Workspace, j ident.Job) string {
+	return QueueOf(d) + string(w) + "/" + string(j)
+}
+
+// QueueOf returns the prefix of the queue entries of a shard.
+func QueueOf(d ident.Domain) string { return queuePrefix + string(d) + "/" }
+
+// ClaimKey returns the key of the claim of a request.
+func ClaimKey(w ident.Workspace, r ident.Request) string {
+	return claimPrefix + string(w) + "/" + string(r)
+}
+
+// ResultKey returns the key of the object that holds a large result.
+func ResultKey(w ident.Workspace, j ident.Job) string {
+	return resultPrefix + string(w) + "/" + string(j)
+}
+
+// JobOfQueueKey returns the workspace and the job that a queue entry of the
+// shard stands for, and whether the key is one.
+func JobOfQueueKey(d ident.Domain, key string) (ident.Workspace, ident.Job, bool) {
+	rest, ok := strings.CutPrefix(key, QueueOf(d))
+	if !ok {
+		return "", "", false
+	}
+	w, j, ok := strings.Cut(rest, "/")
+	return ident.Workspace(w), ident.Job(j), ok && w != "" && j != ""
+}
