Add shard ownership, membership, configuration spread and job intake

Cause: the job path needs an owner for each shard, instances that know each other, and a configuration that is the same everywhere. Ruled out: one row for lease and renewal. Every renewal would change the version that the owner's job transactions check, so the owner would conflict with itself; the lease row now changes only with the holder, and the renewal goes to a beat row that a take-over checks. Ruled out: an age of the last configuration read sent by the owner, since a paused sender or a slow link adds time that the worker cannot see; a start now echoes tick and boot of a worker's report received before the read.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -67,6 +67,9 @@
 		Reason string
 		// Result is the answer of the job when it is done.
 		Result []byte
+		// ResultStored tells that the result is too large for the row and
+		// stands in the object store.
+		ResultStored bool
 	}
 )
 
--- /dev/null
+++ b/internal/member/doc.go
@@ -0,0 +1,15 @@
+// Package member knows which instances of the site are alive and what they
+// tell of themselves.
+//
+// Each instance writes a row in the table service and exchanges its state with
+// every other one each second. An instance counts as alive while one of its
+// last exchanges worked or its row changes. The view may be wrong: ownership of
+// shards never depends on it, only the preference for who takes a free lease.
+//
+// # Usage
+//
+//	s := member.NewService(member.Deps{Table: table, Self: self, Local: local, Exchange: exchange})
+//	go s.Run(ctx)
+//	for _, p := range s.Live(time.Now()) { ... }
+//	rank := s.Rank("ub1", "ulaanbaatar", time.Now())
+package member
--- /dev/null
+++ b/internal/member/service.go
@@ -0,0 +1,186 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/record"
+	"github.com/baobabquay/baobabquay/internal/store"
+)
+
+type (
+	// Deps are the calls that a Service makes.
+	Deps struct {
+		Table store.Table
+		Self  Info
+		// Local returns the state of this instance.
+		Local func() State
+		// Exchange sends a state to an instance and returns its answer.
+		Exchange func(ctx context.Context, to Info, s State) (State, error)
+		// Received is called with each state that another instance told.
+		Received func(s State)
+		Log      event.Log
+	}
+
+	// Service keeps the view up to date.
+	Service struct {
+		*View
+		deps Deps
+	}
+)
+
+const (
+	exchangeEvery   = time.Second
+	exchangeTimeout = time.Second
+	scanEvery       = 2 * time.Second
+	writeEvery      = 4 * time.Second
+	storeTimeout    = 2 * time.Second
+)
+
+// NewService returns a service that has not started.
+func NewService(d Deps) *Service {
+	return &Service{View: NewView(d.Self), deps: d}
+}
+
+// Join writes the row of this instance and reads those of the others.
+func (s *Service) Join(ctx context.Context) error {
+	if err := s.write(ctx); err != nil {
+		return err
+	}
+	return s.scan(ctx)
+}
+
+// Leave deletes the row of this instance.
+func (s *Service) Leave(ctx context.Context) error {
+	key := record.MemberKey(s.deps.Self.Instance)
+	if _, err := s.deps.Table.Commit(ctx, store.Txn{Deletes: []string{key}}); err != nil {
+		return fmt.Errorf("delete row of this instance: %w", err)
+	}
+	return nil
+}
+
+// Run keeps the rows and the exchanges going until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { s.every(ctx, exchangeEvery, s.exchangeAll) })
+	loops.Go(func() { s.every(ctx, scanEvery, func(ctx context.Context) { s.quietly(ctx, s.scan) }) })
+	loops.Go(func() { s.every(ctx, writeEvery, func(ctx context.Context) { s.quietly(ctx, s.write) }) })
+	loops.Wait()
+}
+
+// Offer sends the state of this instance to all live instances now and waits
+// for their answers, at most for the timeout of an exchange.
+func (s *Service) Offer(ctx context.Context) { s.exchangeAll(ctx) }
+
+// Receive takes the state that another instance sent and returns the answer.
+func (s *Service) Receive(from State) State {
+	s.take(from)
+	return s.stateFor(from.ConfigVersion)
+}
+
+func (s *Service) take(from State) {
+	s.heard(from, time.Now())
+	if s.deps.Received != nil {
+		s.deps.Received(from)
+	}
+}
+
+// stateFor returns the local state, with the configuration only if the other
+// side has a lower version.
+func (s *Service) stateFor(theirs int64) State {
+	local := s.deps.Local()
+	if local.ConfigVersion <= theirs {
+		local.Config = nil
+	}
+	return local
+}
+
+func (s *Service) exchangeAll(ctx context.Context) {
+	var calls sync.WaitGroup
+	for _, p := range s.Live(time.Now()) {
+		calls.Go(func() { s.exchange(ctx, p) })
+	}
+	calls.Wait()
+}
+
+func (s *Service) exchange(ctx context.Context, p Peer) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := s.deps.Exchange(ctx, p.Info, s.stateFor(p.State.ConfigVersion))
+	if err != nil {
+		return
+	}
+	if p.Heard.IsZero() {
+		s.deps.Log.Write(event.PeerFound, "peer", p.Instance)
+	}
+	s.take(answer)
+}
+
+func (s *Service) scan(ctx context.Context) error {
+	rows, err := s.deps.Table.Scan(ctx, record.MemberPrefix)
+	if err != nil {
+		return fmt.Errorf("scan instances: %w", err)
+	}
+	var seen []sighted
+	for _, r := range rows {
+		m, err := record.DecodeMember(r.Value)
+		if err != nil {
+			return fmt.Errorf("row %s: %w", r.Key, err)
+		}
+		seen = append(seen, sighted{info: Info(m), version: r.Version})
+	}
+	return s.clean(ctx, s.observe(seen, time.Now()))
+}
+
+// clean deletes the rows of instances that are gone. The check on the version
+// keeps the row of an instance that came back meanwhile.
+func (s *Service) clean(ctx context.Context, old []sighted) error {
+	for _, o := range old {
+		key := record.MemberKey(o.info.Instance)
+		_, err := s.deps.Table.Commit(ctx, store.Txn{
+			Checks:  []store.Check{{Key: key, Version: o.version}},
+			Deletes: []string{key},
+		})
+		if err != nil && !store.IsConflict(err) {
+			return fmt.Errorf("delete row of instance %s: %w", o.info.Instance, err)
+		}
+	}
+	return nil
+}
+
+func (s *Service) write(ctx context.Context) error {
+	value, err := record.EncodeMember(record.Member(s.deps.Self))
+	if err != nil {
+		return fmt.Errorf("write row of this instance: %w", err)
+	}
+	put := store.Put{Key: record.MemberKey(s.deps.Self.Instance), Value: value}
+	if _, err := s.deps.Table.Commit(ctx, store.Txn{Puts: []store.Put{put}}); err != nil {
+		return fmt.Errorf("write row of this instance: %w", err)
+	}
+	return nil
+}
+
+// quietly runs a step whose failure the next round repairs.
+func (s *Service) quietly(ctx context.Context, step func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_ = step(ctx)
+}
+
+// every runs f in rounds. The period varies by a tenth so that the instances
+// of a site that started together do not act in step.
+func (s *Service) every(ctx context.Context, period time.Duration, f func(context.Context)) {
+	for {
+		wait := period - period/20 + time.Duration(rand.Int64N(int64(period/10)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+			f(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/member/view.go
@@ -0,0 +1,201 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/sched"
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// Info is what does not change during the life of an instance.
+	Info struct {
+		Instance ident.Instance
+		Domain   ident.Domain
+		Region   ident.Region
+		Peer     netip.AddrPort
+		Caller   netip.AddrPort
+		Started  time.Time
+	}
+
+	// State is what an instance tells of itself in an exchange.
+	State struct {
+		Instance      ident.Instance
+		ConfigVersion int64
+		// Config is set when the sender has a higher version than it knows
+		// the receiver to have.
+		Config   *config.Config
+		Shards   []sched.Summary
+		Ready    bool
+		Stopping bool
+	}
+
+	// Peer is another instance as this one knows it.
+	Peer struct {
+		Info
+		State State
+		// Heard is the instant of the last exchange that worked.
+		Heard time.Time
+		// Changed is the instant at which the row was last seen to change.
+		Changed time.Time
+
+		version int64
+	}
+
+	// View is the set of known instances. It is safe for concurrent use.
+	View struct {
+		self Info
+
+		mu    sync.Mutex
+		peers map[ident.Instance]Peer
+	}
+
+	// sighted is an instance's row with its version.
+	sighted struct {
+		info    Info
+		version int64
+	}
+)
+
+const (
+	// heardFor is the time for which an exchange proves an instance alive:
+	// three exchanges.
+	heardFor = 3 * exchangeEvery
+	// rowFor is the time for which a changed row proves an instance alive.
+	rowFor = 10 * time.Second
+	// rowKept is the time after which a row that does not change is deleted.
+	rowKept = time.Minute
+)
+
+// NewView returns a view that knows only this instance.
+func NewView(self Info) *View {
+	return &View{self: self, peers: make(map[ident.Instance]Peer)}
+}
+
+// observe takes the rows of all instances and returns those to be deleted.
+func (v *View) observe(rows []sighted, now time.Time) []sighted {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	present := make(map[ident.Instance]bool, len(rows))
+	var old []sighted
+	for _, r := range rows {
+		present[r.info.Instance] = true
+		if r.info.Instance == v.self.Instance {
+			continue
+		}
+		p := v.peers[r.info.Instance]
+		if p.version != r.version {
+			p.Info, p.version, p.Changed = r.info, r.version, now
+		}
+		v.peers[r.info.Instance] = p
+		if !p.isLive(now) && now.Sub(p.Changed) > rowKept {
+			old = append(old, r)
+		}
+	}
+	for i, p := range v.peers {
+		if !present[i] && !p.isLive(now) {
+			delete(v.peers, i)
+		}
+	}
+	return old
+}
+
+// heard takes what an instance told of itself.
+func (v *View) heard(s State, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p, ok := v.peers[s.Instance]
+	if !ok {
+		return
+	}
+	s.Config = nil
+	p.State, p.Heard = s, now
+	v.peers[s.Instance] = p
+}
+
+// Live returns the other instances that count as alive, ordered by name.
+func (v *View) Live(now time.Time) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var live []Peer
+	for _, p := range v.peers {
+		if p.isLive(now) {
+			live = append(live, p)
+		}
+	}
+	slices.SortFunc(live, func(a, b Peer) int {
+		return strings.Compare(string(a.Instance), string(b.Instance))
+	})
+	return live
+}
+
+// Find returns the instance with the given name.
+func (v *View) Find(i ident.Instance) (Peer, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p, ok := v.peers[i]
+	return p, ok
+}
+
+// Rank returns the place of this instance in the order in which live instances
+// should take the shard of a domain, 0 for the first. The order is by
+// rendezvous hashing among those in the domain, then those in its region, then
+// the others. An instance that is stopping comes in no place.
+func (v *View) Rank(d ident.Domain, r ident.Region, now time.Time) int {
+	rank := 0
+	for _, p := range v.Live(now) {
+		if !p.State.Stopping && comparePreference(p.Info, v.self, d, r) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+func comparePreference(a, b Info, d ident.Domain, r ident.Region) int {
+	return cmp.Or(
+		cmp.Compare(distance(a, d, r), distance(b, d, r)),
+		cmp.Compare(score(b.Instance, d), score(a.Instance, d)),
+		strings.Compare(string(a.Instance), string(b.Instance)),
+	)
+}
+
+// Owner returns the instance that says it owns the shard, with the highest
+// epoch, and its summary.
+func (v *View) Owner(d ident.Domain, now time.Time) (Peer, sched.Summary, bool) {
+	var owner Peer
+	var summary sched.Summary
+	found := false
+	for _, p := range v.Live(now) {
+		for _, s := range p.State.Shards {
+			if s.Domain == d && (!found || s.Epoch > summary.Epoch) {
+				owner, summary, found = p, s, true
+			}
+		}
+	}
+	return owner, summary, found
+}
+
+func (p Peer) isLive(now time.Time) bool {
+	return now.Sub(p.Heard) < heardFor || now.Sub(p.Changed) < rowFor
+}
+
+func distance(i Info, d ident.Domain, r ident.Region) int {
+	switch {
+	case i.Domain == d:
+		return 0
+	case i.Region == r:
+		return 1
+	}
+	return 2
+}
+
+func score(i ident.Instance, d ident.Domain) uint64 {
+	return xxhash.Sum64String(string(i) + "\x00" + string(d))
+}
--- /dev/null
+++ b/internal/owner/reconcile.go
@@ -0,0 +1,203 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/gang"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/record"
+	"github.com/baobabquay/baobabquay/internal/worker"
+	"golang.org/x/sync/errgroup"
+)
+
+// maxRowResult is the largest result in bytes that is kept in the job's row.
+const maxRowResult = 4 << 10
+
+// reconcile brings the records of the jobs and the tasks on the workers into
+// agreement. A job whose change fails is judged again in the next round.
+func (s *Shard) reconcile(ctx context.Context, r *round) error {
+	s.stopOrphans(ctx, r)
+	_ = each(s.placed(), func(h held) error {
+		v := gang.Judge(r.now, h.job, func(w ident.Worker) gang.Sight { return s.see(h.job, w) })
+		s.apply(ctx, r, h, v)
+		return nil
+	})
+	_ = each(s.cancelled(), func(h held) error {
+		s.end(ctx, r, h, jobs.Cancelled, "cancelled by the caller", nil)
+		return nil
+	})
+	return nil
+}
+
+// each calls f for all values, at most actLimit at once, and returns the first
+// error.
+func each[T any](all []T, f func(T) error) error {
+	var group errgroup.Group
+	group.SetLimit(actLimit)
+	for _, v := range all {
+		group.Go(func() error { return f(v) })
+	}
+	return group.Wait()
+}
+
+func (s *Shard) apply(ctx context.Context, r *round, h held, v gang.Verdict) {
+	switch v.Kind {
+	case gang.Confirm:
+		s.confirm(ctx, r, h)
+	case gang.Finish:
+		s.end(ctx, r, h, jobs.Done, "", v.Result)
+	case gang.Cancel:
+		if s.stopAll(ctx, r, h.job) {
+			s.end(ctx, r, h, jobs.Cancelled, v.Reason, nil)
+		}
+	case gang.TakeDown:
+		s.takeDown(ctx, r, h, v)
+	case gang.Keep:
+	}
+}
+
+func (s *Shard) confirm(ctx context.Context, r *round, h held) {
+	next, err := jobs.Confirm(h.job)
+	if err != nil {
+		return
+	}
+	if s.commit(ctx, r, h, next) != nil {
+		return
+	}
+	s.deps.Log.Write(event.JobStarted, "workspace", next.Workspace, "job", next.ID,
+		"domain", s.deps.Domain, "attempt", next.Attempt, "wait", next.Started.Sub(next.Submitted).String())
+}
+
+// takeDown stops all members and puts the job back in the queue, or ends it if
+// it has failed too often.
+func (s *Shard) takeDown(ctx context.Context, r *round, h held, v gang.Verdict) {
+	if !s.stopAll(ctx, r, h.job) {
+		return
+	}
+	if len(v.FailedOn) > 0 && h.job.Failures+1 >= jobs.MaxFailures {
+		reason := fmt.Sprintf("failed %d times, last: %s", h.job.Failures+1, v.Reason)
+		s.end(ctx, r, h, jobs.Failed, reason, nil)
+		return
+	}
+	s.requeue(ctx, r, h, v)
+}
+
+func (s *Shard) requeue(ctx context.Context, r *round, h held, v gang.Verdict) {
+	next, err := jobs.Requeue(h.job, v.Reason, v.Saved, v.FailedOn)
+	if err != nil || s.commit(ctx, r, h, next) != nil {
+		return
+	}
+	s.deps.Log.Write(event.JobRequeued, "workspace", next.Workspace, "job", next.ID,
+		"domain", s.deps.Domain, "attempt", next.Attempt, "reason", v.Reason, "saved", next.Saved.String())
+}
+
+// end records the final state, then lets the workers forget the attempt.
+func (s *Shard) end(ctx context.Context, r *round, h held, state jobs.State, reason string, result []byte) {
+	next, err := jobs.End(h.job, state, reason, result, r.now)
+	if err != nil {
+		return
+	}
+	if len(result) > maxRowResult {
+		if err := s.deps.Objects.Put(ctx, record.ResultKey(next.Workspace, next.ID), result); err != nil {
+			return
+		}
+		next.Result, next.ResultStored = nil, true
+	}
+	if s.commit(ctx, r, h, next) != nil {
+		return
+	}
+	s.deps.Log.Write(event.JobEnded, "workspace", next.Workspace, "job", next.ID,
+		"domain", s.deps.Domain, "state", next.State.String(), "attempt", next.Attempt, "reason", reason)
+	s.stopAll(ctx, r, h.job)
+}
+
+// stopAll stops the attempt on all workers of the job. It returns false if a
+// worker that answers has not stopped it; a silent worker's tasks end by
+// themselves, and the verdict has waited for that.
+func (s *Shard) stopAll(ctx context.Context, r *round, j jobs.Job) bool {
+	ok := true
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, slot := range j.Slots {
+		calls.Go(func() {
+			err := s.stopOn(ctx, r, slot.Worker, []worker.Attempt{attemptOf(j)})
+			if err != nil && s.answers(slot.Worker) {
+				mu.Lock()
+				ok = false
+				mu.Unlock()
+			}
+		})
+	}
+	calls.Wait()
+	return ok
+}
+
+func (s *Shard) stopOn(ctx context.Context, r *round, id ident.Worker, as []worker.Attempt) error {
+	agent, ok := s.agentOf(id)
+	if !ok {
+		return fmt.Errorf("stop on %s: %w", id, errWorker)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := agent.Stop(ctx, worker.Stop{Header: s.header(r), Attempts: as}); err != nil {
+		s.lostEpoch(err)
+		return fmt.Errorf("stop on %s: %w", id, err)
+	}
+	return nil
+}
+
+func (s *Shard) answers(id ident.Worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.workers[id]
+	return ok && t.answered
+}
+
+// stopOrphans stops the attempts that no record of a job names. Only this
+// owner starts attempts, and it does so later in the round, so an attempt
+// that is not recorded now is left over.
+func (s *Shard) stopOrphans(ctx context.Context, r *round) {
+	var calls sync.WaitGroup
+	for id, as := range s.orphans() {
+		calls.Go(func() {
+			// A stop that is lost is repeated in the next round.
+			_ = s.stopOn(ctx, r, id, as)
+		})
+	}
+	calls.Wait()
+}
+
+func (s *Shard) orphans() map[ident.Worker][]worker.Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := make(map[ident.Worker][]worker.Attempt)
+	for id, t := range s.workers {
+		if !t.answered || !t.fenced {
+			continue
+		}
+		for _, st := range t.report.Statuses {
+			h, ok := s.jobs[jobKey{st.Attempt.Workspace, st.Attempt.Job}]
+			if !ok || !h.job.State.Placed() || h.job.Attempt != st.Attempt.Number {
+				found[id] = append(found[id], st.Attempt)
+			}
+		}
+	}
+	return found
+}
+
+// cancelled returns the waiting jobs that their callers cancelled.
+func (s *Shard) cancelled() []held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []held
+	for _, h := range s.jobs {
+		if h.job.State == jobs.Pending && h.job.CancelRequested {
+			all = append(all, h)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/owner/renew.go
@@ -0,0 +1,56 @@
+package owner
+
+import (
+	"context"
+	"sync"
+
+	"github.com/baobabquay/baobabquay/internal/gang"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/worker"
+)
+
+// renew extends the leases of the tasks of complete gangs, with one call a
+// worker. It uses what earlier rounds read, so it goes on without the store.
+func (s *Shard) renew(ctx context.Context, r *round) error {
+	attempts := make(map[ident.Worker][]worker.Attempt)
+	for _, h := range s.placed() {
+		v := gang.Judge(r.now, h.job, func(w ident.Worker) gang.Sight { return s.see(h.job, w) })
+		if !v.Complete {
+			continue
+		}
+		for _, slot := range h.job.Slots {
+			attempts[slot.Worker] = append(attempts[slot.Worker], attemptOf(h.job))
+		}
+	}
+	var calls sync.WaitGroup
+	for id, as := range attempts {
+		calls.Go(func() { s.renewOn(ctx, r, id, as) })
+	}
+	calls.Wait()
+	return nil
+}
+
+func (s *Shard) renewOn(ctx context.Context, r *round, id ident.Worker, as []worker.Attempt) {
+	agent, ok := s.agentOf(id)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// A renewal that is lost is repeated in the next round.
+	err := agent.Renew(ctx, worker.Renew{Header: s.header(r), Attempts: as, Lease: gang.Lease})
+	s.lostEpoch(err)
+}
+
+// placed returns the jobs that hold workers.
+func (s *Shard) placed() []held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []held
+	for _, h := range s.jobs {
+		if h.job.State.Placed() {
+			all = append(all, h)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/owner/shard.go
@@ -0,0 +1,234 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/lease"
+	"github.com/baobabquay/baobabquay/internal/pipe"
+	"github.com/baobabquay/baobabquay/internal/sched"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/internal/worker"
+	"github.com/pkg/errors"
+)
+
+type (
+	// Deps are the calls that a shard makes.
+	Deps struct {
+		Domain  ident.Domain
+		Table   store.Table
+		Objects store.Objects
+		Lease   *lease.Keeper
+		// Rank returns the place of this instance among those that should own
+		// the shard.
+		Rank func(now time.Time) int
+		// Workers returns the workers that the platform lists in the domain.
+		Workers func() []worker.Spec
+		Agent   func(s worker.Spec) worker.Agent
+		// Read returns the committed configuration, read from the store.
+		Read   func(ctx context.Context) (*config.Config, error)
+		Policy sched.Policy
+		// Elsewhere returns another domain that can take the job.
+		Elsewhere func(j jobs.Job) (ident.Domain, error)
+		// Notify tells the owner of a shard that its queue changed.
+		Notify func(d ident.Domain, w ident.Workspace, j ident.Job)
+		Log    event.Log
+	}
+
+	// Shard is the capacity of one failure domain as its owner handles it.
+	Shard struct {
+		deps  Deps
+		chain *pipe.Chain[*round]
+		wake  chan struct{}
+
+		mu sync.Mutex
+		// epoch is the epoch for which the state below holds, 0 if none.
+		epoch   int64
+		since   time.Time
+		workers map[ident.Worker]*tracked
+		jobs    map[jobKey]held
+		waits   map[jobKey]string
+		summary sched.Summary
+		ready   bool
+		storeUp bool
+		outrank time.Time
+	}
+
+	// tracked is a worker with its last report.
+	tracked struct {
+		spec  worker.Spec
+		agent worker.Agent
+		// fenced tells that the worker has accepted the epoch of this owner.
+		fenced   bool
+		report   worker.Report
+		seen     time.Time
+		answered bool
+	}
+
+	// tick is an instant of a worker's own clock.
+	tick struct {
+		boot string
+		at   time.Duration
+	}
+
+	// held is a job with the version of its row.
+	held struct {
+		job     jobs.Job
+		version int64
+	}
+
+	// jobKey names a job within the shard.
+	jobKey struct {
+		workspace ident.Workspace
+		job       ident.Job
+	}
+
+	// round is the value that passes through the filters.
+	round struct {
+		now    time.Time
+		lease  lease.State
+		config *config.Config
+		// ticks are those of the reports received before config was read, and
+		// proven is the instant of that read. Only they may go into a start.
+		ticks  map[ident.Worker]tick
+		proven time.Time
+		// actions are what the policy decided.
+		actions []sched.Action
+	}
+)
+
+const (
+	// roundEvery is the period of rounds without a reason to hurry. It bounds
+	// the age of the proofs that starts carry.
+	roundEvery = 500 * time.Millisecond
+	// callTimeout bounds one call to a worker. A worker that is slower counts
+	// as silent for this round.
+	callTimeout = 400 * time.Millisecond
+	// storeTimeout bounds the store's part of a round.
+	storeTimeout = 2 * time.Second
+	// actLimit is the number of actions of one round that run at once.
+	actLimit = 16
+	// outrankedFor is the time for which another instance must be preferred
+	// before a shard is handed over, so that a view that changes back and
+	// forth moves nothing.
+	outrankedFor = 10 * time.Second
+)
+
+// errNotOwner ends the round of an instance that does not hold the lease.
+var errNotOwner = errors.New("not the owner of the shard")
+
+// NewShard returns a shard that is not running.
+func NewShard(d Deps) *Shard {
+	s := &Shard{deps: d, wake: make(chan struct{}, 1), storeUp: true}
+	s.reset(0, time.Time{})
+	s.chain = pipe.New("placement",
+		pipe.Filter[*round]{Name: "hold", Do: s.hold},
+		pipe.Filter[*round]{Name: "observe", Do: s.observe},
+		pipe.Filter[*round]{Name: "renew", Do: s.renew},
+		pipe.Filter[*round]{Name: "read", Do: s.read},
+		pipe.Filter[*round]{Name: "queue", Do: s.queue},
+		pipe.Filter[*round]{Name: "reconcile", Do: s.reconcile},
+		pipe.Filter[*round]{Name: "decide", Do: s.decide},
+		pipe.Filter[*round]{Name: "act", Do: s.act},
+	)
+	return s
+}
+
+// Run performs rounds until ctx ends.
+func (s *Shard) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		// What a round could not do, the next one does.
+		_ = s.Round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-s.wake:
+		case <-time.After(roundEvery):
+		}
+	}
+}
+
+// Round performs one round and returns the error that ended it, if any.
+func (s *Shard) Round(ctx context.Context) error {
+	err := s.chain.Run(ctx, &round{now: time.Now()})
+	s.noteStore(err)
+	return err
+}
+
+// Wake starts the next round now.
+func (s *Shard) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Release hands the shard over. Run must have ended.
+func (s *Shard) Release(ctx context.Context) error {
+	state := s.deps.Lease.State()
+	if !state.Held {
+		return nil
+	}
+	s.deps.Log.Write(event.LeaseReleased, "domain", s.deps.Domain, "epoch", state.Epoch)
+	s.reset(0, time.Time{})
+	return s.deps.Lease.Release(ctx)
+}
+
+// Summary returns the state of the shard and whether this instance owns it.
+func (s *Shard) Summary() (sched.Summary, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.summary, s.epoch != 0
+}
+
+// Reason returns why a waiting job waits, and whether the shard knows it.
+func (s *Shard) Reason(w ident.Workspace, j ident.Job) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.waits[jobKey{w, j}]
+	return r, ok
+}
+
+// reset forgets everything and starts an epoch.
+func (s *Shard) reset(epoch int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = epoch
+	s.since = now
+	s.workers = make(map[ident.Worker]*tracked)
+	s.jobs = make(map[jobKey]held)
+	s.waits = make(map[jobKey]string)
+	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
+	s.ready = false
+	s.outrank = time.Time{}
+}
+
+// noteStore logs when the store stops and starts answering.
+func (s *Shard) noteStore(err error) {
+	down := errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUncertain)
+	if err != nil && !down {
+		return
+	}
+	s.mu.Lock()
+	changed := s.storeUp == down
+	s.storeUp = !down
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	if down {
+		s.deps.Log.Write(event.StoreDown, "domain", s.deps.Domain, "reason", err.Error())
+		return
+	}
+	s.deps.Log.Write(event.StoreBack, "domain", s.deps.Domain)
+}
+
+func keyOf(j jobs.Job) jobKey { return jobKey{j.Workspace, j.ID} }
+
+func attemptOf(j jobs.Job) worker.Attempt {
+	return worker.Attempt{Workspace: j.Workspace, Job: j.ID, Number: j.Attempt}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"connectrpc.com/connect"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/member"
+	"github.com/baobabquay/baobabquay/internal/peerv1"
+	"github.com/baobabquay/baobabquay/internal/shard"
+)
+
+type (
+	// Client calls other instances. It is safe for concurrent use.
+	Client struct {
+		http    *http.Client
+		clients *shard.Map[addressKey, *connection]
+	}
+
+	// addressKey is the text of an address.
+	addressKey string
+
+	connection struct {
+		peer peerv1.PeerClient
+	}
+)
+
+// clientParts is the number of locks over the connections; an instance talks
+// to a few dozen others.
+const clientParts = 8
+
+// NewClient returns a client that keeps its connections.
+func NewClient(c *http.Client) *Client {
+	return &Client{http: c, clients: shard.New[addressKey, *connection](clientParts)}
+}
+
+// Exchange sends s to the instance at the address and returns its state.
+func (c *Client) Exchange(ctx context.Context, to netip.AddrPort, s member.State) (member.State, error) {
+	form, err := stateToForm(s)
+	if err != nil {
+		return member.State{}, fmt.Errorf("exchange with %v: %w", to, err)
+	}
+	answer, err := c.client(to).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{State: form}))
+	if err != nil {
+		return member.State{}, fmt.Errorf("exchange with %v: %w", to, err)
+	}
+	state, err := stateFromForm(answer.Msg.GetState())
+	if err != nil {
+		return member.State{}, fmt.Errorf("exchange with %v: %w", to, err)
+	}
+	return state, nil
+}
+
+// Notify tells the instance at the address that a queue entry changed.
+func (c *Client) Notify(ctx context.Context, to netip.AddrPort, d ident.Domain, w ident.Workspace, j ident.Job) error {
+	_, err := c.client(to).Notify(ctx, connect.NewRequest(&peerv1.NotifyRequest{
+		Domain: string(d), Workspace: string(w), Job: string(j),
+	}))
+	if err != nil {
+		return fmt.Errorf("notify %v of job %s: %w", to, j, err)
+	}
+	return nil
+}
+
+func (c *Client) client(to netip.AddrPort) peerv1.PeerClient {
+	conn, _ := c.clients.LoadOrStore(addressKey(to.String()), func() *connection {
+		return &connection{peer: peerv1.NewPeerClient(c.http, "http://"+to.String())}
+	})
+	return conn.peer
+}
--- /dev/null
+++ b/internal/peer/form.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/member"
+	"github.com/baobabquay/baobabquay/internal/peerv1"
+	"github.com/baobabquay/baobabquay/internal/record"
+	"github.com/baobabquay/baobabquay/internal/sched"
+)
+
+func stateToForm(s member.State) (*peerv1.State, error) {
+	f := &peerv1.State{
+		Instance:      string(s.Instance),
+		ConfigVersion: s.ConfigVersion,
+		Ready:         s.Ready,
+		Stopping:      s.Stopping,
+	}
+	if s.Config != nil {
+		b, err := record.EncodeConfig(s.Config)
+		if err != nil {
+			return nil, fmt.Errorf("encode state: %w", err)
+		}
+		f.Config = b
+	}
+	for _, sum := range s.Shards {
+		f.Shards = append(f.Shards, &peerv1.ShardSummary{
+			Domain:              string(sum.Domain),
+			Epoch:               sum.Epoch,
+			Workers:             int32(sum.Workers),
+			Accelerators:        int32(sum.Accelerators),
+			FreeAccelerators:    int32(sum.FreeAccelerators),
+			WaitingJobs:         int32(sum.WaitingJobs),
+			WaitingAccelerators: int32(sum.WaitingAccelerators),
+			RunningJobs:         int32(sum.RunningJobs),
+			Unmet:               sum.Unmet,
+		})
+	}
+	return f, nil
+}
+
+func stateFromForm(f *peerv1.State) (member.State, error) {
+	s := member.State{
+		Instance:      ident.Instance(f.GetInstance()),
+		ConfigVersion: f.GetConfigVersion(),
+		Ready:         f.GetReady(),
+		Stopping:      f.GetStopping(),
+	}
+	if len(f.GetConfig()) > 0 {
+		c, err := record.DecodeConfig(f.GetConfig())
+		if err != nil {
+			return member.State{}, fmt.Errorf("decode state of %s: %w", s.Instance, err)
+		}
+		s.Config = c
+	}
+	for _, sum := range f.GetShards() {
+		s.Shards = append(s.Shards, sched.Summary{
+			Domain:              ident.Domain(sum.GetDomain()),
+			Epoch:               sum.GetEpoch(),
+			Workers:             int(sum.GetWorkers()),
+			Accelerators:        int(sum.GetAccelerators()),
+			FreeAccelerators:    int(sum.GetFreeAccelerators()),
+			WaitingJobs:         int(sum.GetWaitingJobs()),
+			WaitingAccelerators: int(sum.GetWaitingAccelerators()),
+			RunningJobs:         int(sum.GetRunningJobs()),
+			Unmet:               sum.GetUnmet(),
+		})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/member"
+	"github.com/baobabquay/baobabquay/internal/peerv1"
+)
+
+type (
+	// Server holds what answers the calls of other instances.
+	Server struct {
+		Exchange func(from member.State) member.State
+		Notify   func(d ident.Domain, w ident.Workspace, j ident.Job)
+	}
+
+	// handler adapts a Server to the generated service.
+	handler struct {
+		peerv1.UnimplementedPeerHandler
+		server Server
+	}
+)
+
+// NewHandler returns the path and the handler of the service.
+func NewHandler(s Server) (string, http.Handler) {
+	return peerv1.NewPeerHandler(handler{server: s})
+}
+
+// Exchange decodes the state, passes it on and encodes the answer.
+func (h handler) Exchange(
+	_ context.Context, r *connect.Request[peerv1.ExchangeRequest],
+) (*connect.Response[peerv1.ExchangeResponse], error) {
+	from, err := stateFromForm(r.Msg.GetState())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("exchange: %w", err))
+	}
+	form, err := stateToForm(h.server.Exchange(from))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, fmt.Errorf("exchange: %w", err))
+	}
+	return connect.NewResponse(&peerv1.ExchangeResponse{State: form}), nil
+}
+
+// Notify passes the names on.
+func (h handler) Notify(
+	_ context.Context, r *connect.Request[peerv1.NotifyRequest],
+) (*connect.Response[peerv1.NotifyResponse], error) {
+	m := r.Msg
+	h.server.Notify(ident.Domain(m.GetDomain()), ident.Workspace(m.GetWorkspace()), ident.Job(m.GetJob()))
+	return connect.NewResponse(&peerv1.NotifyResponse{}), nil
+}
--- a/internal/record/job.go
+++ b/internal/record/job.go
@@ -32,6 +32,7 @@
 		CancelRequested bool            `json:"cancelRequested,omitempty"`
 		Reason          string          `json:"reason,omitempty"`
 		Result          []byte          `json:"result,omitempty"`
+		ResultStored    bool            `json:"resultStored,omitempty"`
 	}
 
 	shapeForm struct {
@@ -56,7 +57,7 @@
 		Domain: j.Domain, State: j.State.String(), Submitted: j.Submitted, Attempt: j.Attempt,
 		Epoch: j.Epoch, Started: j.Started, Ended: j.Ended, Saved: span(j.Saved),
 		Failures: j.Failures, FailedOn: j.FailedOn, CancelRequested: j.CancelRequested,
-		Reason: j.Reason, Result: j.Result,
+		Reason: j.Reason, Result: j.Result, ResultStored: j.ResultStored,
 	}
 	for _, s := range j.Slots {
 		f.Slots = append(f.Slots, slotForm(s))
@@ -90,7 +91,7 @@
 		},
 		Attempt: f.Attempt, Epoch: f.Epoch, Started: f.Started, Ended: f.Ended,
 		Saved: time.Duration(f.Saved), Failures: f.Failures, FailedOn: f.FailedOn,
-		CancelRequested: f.CancelRequested, Reason: f.Reason, Result: f.Result,
+		CancelRequested: f.CancelRequested, Reason: f.Reason, Result: f.Result, ResultStored: f.ResultStored,
 	}
 	for _, s := range f.Slots {
 		j.Slots = append(j.Slots, jobs.Slot(s))
--- a/internal/record/key.go
+++ b/internal/record/key.go
@@ -11,6 +11,7 @@
 	ConfigKey    = "config/current"
 	MemberPrefix = "member/"
 	leasePrefix  = "lease/"
+	beatPrefix   = "beat/"
 	jobPrefix    = "job/"
 	queuePrefix  = "queue/"
 	claimPrefix  = "claim/"
@@ -20,6 +21,9 @@
 // LeaseKey returns the key of the lease on a shard.
 func LeaseKey(d ident.Domain) string { return leasePrefix + string(d) }
 
+// BeatKey returns the key of the row that the holder of a lease rewrites.
+func BeatKey(d ident.Domain) string { return beatPrefix + string(d) }
+
 // MemberKey returns the key of an instance's row.
 func MemberKey(i ident.Instance) string { return MemberPrefix + string(i) }
 
@@ -37,6 +41,12 @@
 // QueueOf returns the prefix of the queue entries of a shard.
 func QueueOf(d ident.Domain) string { return queuePrefix + string(d) + "/" }
 
+// QueueOfWorkspace returns the prefix of the queue entries of a workspace in a
+// shard.
+func QueueOfWorkspace(d ident.Domain, w ident.Workspace) string {
+	return QueueOf(d) + string(w) + "/"
+}
+
 // ClaimKey returns the key of the claim of a request.
 func ClaimKey(w ident.Workspace, r ident.Request) string {
 	return claimPrefix + string(w) + "/" + string(r)
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -52,9 +52,10 @@
 		Attempt Attempt
 		// First is the number of the first member on this worker.
 		First int
-		// Tick echoes the tick of a report that was received before the
+		// Tick and Boot echo a report that was received before the
 		// configuration was read.
 		Tick time.Duration
+		Boot string
 		// InService is the state of the domain in that configuration.
 		InService bool
 		// Saved is the progress to resume from.
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -228,6 +228,9 @@
 }
 
 func (m *Machine) admitStart(s Start, now time.Time) error {
+	if s.Boot != m.boot {
+		return refuse(ReasonPermit, "proof of service is from before a restart of the worker")
+	}
 	if age := now.Sub(m.begin) - s.Tick; !m.Guards.Permit(age) {
 		return refuse(ReasonPermit, "proof of service is %v old, at most %v is allowed", age, MaxPermitAge)
 	}
