--- a/internal/fakes/endpoint.go
+++ b/internal/fakes/endpoint.go
@@ -91,6 +91,20 @@
 
 var errDied = errors.New("endpoint died before its answer")
 
+// Check returns an error that wraps ErrFault if f is not a fault.
+func (f EndpointFault) Check() error {
+	switch f.Kind {
+	case FaultCut, FaultDie, FaultRefuse, FaultSlow:
+	default:
+		return fmt.Errorf("kind %q, allowed are %s, %s, %s and %s: %w",
+			f.Kind, FaultCut, FaultDie, FaultRefuse, FaultSlow, ErrFault)
+	}
+	if f.Delay < 0 || f.Next < 0 {
+		return fmt.Errorf("negative delay or count: %w", ErrFault)
+	}
+	return nil
+}
+
 // NewEndpoint returns a live endpoint that takes delay to answer.
 func NewEndpoint(info plat.Endpoint, delay time.Duration) *Endpoint {
 	return &Endpoint{info: info, delay: delay, changed: make(chan struct{}, 1)}
