Carry the worker's boot identifier in start messages

Cause: a start echoes tick and boot of a report; the message form had only the tick, so every start was refused as older than a restart of the worker. Ruled out: comparing ticks alone, since a tick of an earlier process of the worker can lie in the present one's future and would pass as recent. Change: startForm has the field boot. Conclusion: starts over HTTP carry the whole proof.

--- a/internal/plat/agent.go
+++ b/internal/plat/agent.go
@@ -44,6 +44,7 @@
 		Attempt   attemptForm `json:"attempt"`
 		First     int         `json:"first"`
 		Tick      span        `json:"tick"`
+		Boot      string      `json:"boot"`
 		InService bool        `json:"inService"`
 		Saved     span        `json:"saved"`
 		Payload   []byte      `json:"payload,omitempty"`
@@ -121,7 +122,7 @@
 		},
 		Start: func(ctx context.Context, s worker.Start) error {
 			return orderCall(ctx, to, pathStart, startForm{
-				headerForm(s.Header), attemptForm(s.Attempt), s.First, span(s.Tick), s.InService, span(s.Saved), s.Payload,
+				headerForm(s.Header), attemptForm(s.Attempt), s.First, span(s.Tick), s.Boot, s.InService, span(s.Saved), s.Payload,
 			})
 		},
 		Renew: func(ctx context.Context, r worker.Renew) error {
@@ -161,7 +162,7 @@
 		route(pathStart, func(ctx context.Context, f startForm) (empty, error) {
 			return empty{}, a.Start(ctx, worker.Start{
 				Header: worker.Header(f.headerForm), Attempt: worker.Attempt(f.Attempt), First: f.First,
-				Tick: time.Duration(f.Tick), InService: f.InService, Saved: time.Duration(f.Saved), Payload: f.Payload,
+				Tick: time.Duration(f.Tick), Boot: f.Boot, InService: f.InService, Saved: time.Duration(f.Saved), Payload: f.Payload,
 			})
 		}),
 		route(pathRenew, func(ctx context.Context, f renewForm) (empty, error) {
