--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -232,18 +232,20 @@
 		in.deps.Log.Write(event.JobAccepted, "workspace", p.job.Workspace, "job", p.job.ID,
 			"domain", p.job.Domain, "shape", p.job.Spec.Shape.String(), "class", p.job.Spec.Class.String())
 		return nil
-	case store.IsConflict(err):
-		return in.adopt(ctx, p)
+	case store.IsConflict(err), errors.Is(err, store.ErrUncertain):
+		// After a lost answer the row can already have been changed by the
+		// shard owner, so that its value is no longer the one written here.
+		return in.adopt(ctx, p, err)
 	}
 	return storeRefusal("submit", err)
 }
 
-// adopt returns the job that an earlier submission with the same request
-// identifier has made.
-func (in *Intake) adopt(ctx context.Context, p *passage) error {
+// adopt takes the job that stands in the row of this submission: it was made
+// by this try or by an earlier one with the same request identifier.
+func (in *Intake) adopt(ctx context.Context, p *passage, cause error) error {
 	j, _, err := in.load(ctx, p.job.Workspace, p.job.ID)
 	if err != nil {
-		return err
+		return storeRefusal("submit", fmt.Errorf("%w: %w", store.ErrUncertain, cause))
 	}
 	if j.Spec.Shape != p.sub.Spec.Shape || string(j.Spec.Payload) != string(p.sub.Spec.Payload) {
 		return refuse(ReasonReused, nil, "request identifier %s was used for another job", p.sub.Request)
