--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -108,7 +108,8 @@
 		Guards: Guards{
 			Epoch:  func(seen, got int64) bool { return got >= seen },
 			Config: func(seen, got int64) bool { return got >= seen },
-			Permit: func(age time.Duration) bool { return age <= MaxPermitAge },
+			// A negative age is a tick of an earlier process of this worker.
+			Permit: func(age time.Duration) bool { return age >= 0 && age <= MaxPermitAge },
 			Ended:  func(_ Attempt, ended bool) bool { return ended },
 		},
 		spec:     s,
@@ -229,7 +230,7 @@
 
 func (m *Machine) admitStart(s Start, now time.Time) error {
 	if age := now.Sub(m.begin) - s.Tick; !m.Guards.Permit(age) {
-		return refuse(ReasonPermit, "proof of service is %v old, at most %v is allowed", age, MaxPermitAge)
+		return refuse(ReasonPermit, "proof of service is %v old, allowed are 0s to %v", age, MaxPermitAge)
 	}
 	if !m.Guards.Config(m.config, s.Config) {
 		return refuse(ReasonConfig, "configuration %d, seen %d", s.Config, m.config)
@@ -334,9 +335,9 @@
 // settle brings the attempts up to now: ends of programs, leases and holds.
 func (m *Machine) settle(now time.Time) {
 	for a, t := range m.attempts {
-		if e := t.settle(now); e != "" {
-			m.log(now, a, e, t.members)
-			m.ended[a] = now
+		if e, at := t.settle(now); e != "" {
+			m.log(at, a, e, t.members)
+			m.ended[a] = at
 		}
 	}
 	for a, at := range m.ended {
@@ -362,27 +363,51 @@
 	}
 }
 
-// settle changes the state at now and returns the event if there was one.
-func (t *attempt) settle(now time.Time) Event {
+// settle brings the state up to now. It returns the event if there was one and
+// the instant at which it occurred, which may be long before now: a machine
+// looks at its attempts only when it is called.
+func (t *attempt) settle(now time.Time) (Event, time.Time) {
 	if !t.state.Holds() {
-		return ""
+		return "", now
+	}
+	at := now
+	if t.until.Before(now) {
+		at = t.until
 	}
 	if t.state == Running {
-		p := t.progress(now)
+		// What a task would have done after the end of its lease does not count.
+		p := t.progress(at)
 		switch {
-		case t.program.FailAfter > 0 && p >= t.program.FailAfter:
-			t.state, t.detail = Failed, t.program.Detail
-			return EventFailed
+		case t.program.FailAfter > 0 && p >= t.program.FailAfter && t.program.FailAfter <= t.program.RunFor:
+			at = t.reached(t.program.FailAfter)
+			t.freeze(at, Failed, t.program.Detail)
+			return EventFailed, at
 		case p >= t.program.RunFor:
-			t.base, t.since, t.state = t.program.RunFor, now, Done
-			return EventDone
+			at = t.reached(t.program.RunFor)
+			t.freeze(at, Done, "")
+			return EventDone, at
 		}
 	}
 	if !now.Before(t.until) {
-		t.state, t.detail = Lapsed, "lease ended without a renewal"
-		return EventLapsed
+		t.freeze(at, Lapsed, "lease ended without a renewal")
+		return EventLapsed, at
+	}
+	return "", now
+}
+
+// freeze ends the attempt at the given instant.
+func (t *attempt) freeze(at time.Time, s State, detail string) {
+	t.base, t.since = t.progress(at), at
+	t.state, t.detail = s, detail
+}
+
+// reached returns the instant at which the running attempt reaches p, which it
+// has done already.
+func (t *attempt) reached(p time.Duration) time.Time {
+	if t.share <= 0 || p <= t.base {
+		return t.since
 	}
-	return ""
+	return t.since.Add(time.Duration(float64(p-t.base) / t.share))
 }
 
 func (t *attempt) progress(now time.Time) time.Duration {
