Add retry budgets, back-off and the fair bounded queue

Cause: the request path needs bounds on retries and on waiting work, and one workspace's burst must not cost another its share. Ruled out: strict order by class across workspaces, because the urgent burst of one workspace would then starve the normal work of another. Change: package limit. A freed place goes to the workspace with the fewest admitted requests for its weight, then by class. A full queue sheds from workspaces above their share, background first.

--- /dev/null
+++ b/internal/limit/queue_test.go
@@ -0,0 +1,134 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+type (
+	// arrivals are n requests that arrive together.
+	arrivals struct {
+		ws    ident.Workspace
+		class jobs.Class
+		n     int
+	}
+
+	ledger struct {
+		b strings.Builder
+	}
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func weights(ws ident.Workspace) int {
+	return map[ident.Workspace]int{"large": 3, "small": 1}[ws]
+}
+
+// submit starts the requests one after another, so that their order is fixed.
+func submit(t *testing.T, q *Queue, l *ledger, batch ...arrivals) {
+	for _, a := range batch {
+		for i := range a.n {
+			go func() {
+				err := q.Acquire(t.Context(), a.ws, a.class)
+				fmt.Fprintf(&l.b, "%s %s %d: %s\n", a.ws, a.class, i, verdict(err))
+			}()
+			synctest.Wait()
+		}
+	}
+}
+
+func verdict(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "admitted"
+}
+
+// TestQueueOrder guards against a burst of one workspace that costs another
+// its share, and against a shed request that is not the least urgent.
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &ledger{}
+		q := NewQueue(QueueSettings{Bound: 8, Weight: weights})
+		q.SetCapacity(4)
+		fmt.Fprintln(&l.b, "# small bursts alone: 4 places, 8 wait, 3 are shed")
+		submit(t, q, l, arrivals{"small", jobs.Normal, 10}, arrivals{"small", jobs.Background, 5})
+		fmt.Fprintln(&l.b, "# large arrives: its share of the queue is 6 of 8")
+		submit(t, q, l, arrivals{"large", jobs.Background, 3}, arrivals{"large", jobs.Urgent, 5})
+		fmt.Fprintln(&l.b, "# places become free")
+		for range 4 {
+			q.Release("small")
+			synctest.Wait()
+		}
+		for q.Waiting() > 0 {
+			q.Release("large")
+			synctest.Wait()
+		}
+		golden.Assert(t, l.b.String(), "order.golden")
+	})
+}
+
+// TestQueueDeadline guards against a request that waits past its deadline, and
+// against a place that is lost with it.
+func TestQueueDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueSettings{Bound: 8, Weight: weights})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		start := time.Now()
+		assert.ErrorIs(t, q.Acquire(ctx, "small", jobs.Urgent), context.DeadlineExceeded)
+		assert.Equal(t, time.Since(start), time.Second)
+		assert.Equal(t, q.Waiting(), 0)
+		q.SetCapacity(1)
+		assert.NilError(t, q.Acquire(t.Context(), "small", jobs.Urgent))
+		assert.ErrorIs(t, q.Acquire(ctx, "small", jobs.Urgent), context.DeadlineExceeded)
+	})
+}
+
+// TestBudget guards against retries beyond their share of first attempts.
+func TestBudget(t *testing.T) {
+	b := NewBudget(0.1)
+	retries := 0
+	for range 1000 {
+		b.First()
+		if b.Retry() {
+			retries++
+		}
+	}
+	assert.Assert(t, retries <= 101, "%d retries", retries)
+	assert.Assert(t, retries >= 99, "%d retries", retries)
+}
+
+// TestBackoff guards against a delay that does not double or exceeds its bound.
+func TestBackoff(t *testing.T) {
+	var out strings.Builder
+	for _, r := range []float64{0, 0.5, 0.999} {
+		b := Backoff{Base: 20 * time.Millisecond, Max: time.Second, Float64: func() float64 { return r }}
+		for _, n := range []int{0, 1, 5, 6, 60} {
+			fmt.Fprintf(&out, "random %.3f retry %d: %v\n", r, n, b.Delay(n).Round(time.Millisecond))
+		}
+	}
+	golden.Assert(t, out.String(), "backoff.golden")
+}
+
+func ExampleQueue() {
+	q := NewQueue(QueueSettings{Bound: 10, Weight: func(ident.Workspace) int { return 1 }})
+	q.SetCapacity(1)
+	if err := q.Acquire(context.Background(), "foundry-a", jobs.Normal); err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer q.Release("foundry-a")
+	fmt.Println("admitted")
+	// Output: admitted
+}
