Add the request path from validation to answer

Change: package relay: flights shared by duplicates, two chains, the handover of unused claims by Resolve, drain, metrics and events.

--- /dev/null
+++ b/internal/relay/passage.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/limit"
+	"github.com/baobabquay/baobabquay/internal/route"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
+)
+
+type (
+	// passage is the value that goes through the chains. One thread at a time
+	// works on it.
+	passage struct {
+		req     Request
+		service config.Service
+		lane    *lane
+		// admitted is true while the request holds a place of the queue.
+		admitted bool
+
+		claim heldClaim
+		// settled is true if another instance gave the answer.
+		settled bool
+
+		attempt  Attempt
+		attempts int
+		tried    []ident.Endpoint
+		lease    route.Lease
+		leased   bool
+		result   route.Result
+		reply    Reply
+		// mayRun is true while the present attempt may have run.
+		mayRun bool
+		// lost is true once an attempt may have run without an answer.
+		lost bool
+
+		ans Answer
+	}
+)
+
+const (
+	// answerMargin is the time that a flight has after its deadline to say
+	// what is known.
+	answerMargin = 100 * time.Millisecond
+	// queueShare is the part of the remaining time that a request may wait
+	// for a place. Later there would be no time left to run it.
+	queueShare = 0.75
+	// overloadRetry is the hint given with a refusal by a full queue.
+	overloadRetry = time.Second
+)
+
+// run passes the request through the chain and logs its outcome.
+func (r *Relay) run(ctx context.Context, p *passage) Answer {
+	err := r.path.Run(ctx, p)
+	p.leaveQueue()
+	ans := p.conclude(err)
+	if p.lane != nil {
+		p.lane.outcomes[ans.Outcome].Inc()
+	}
+	r.report(p, ans)
+	return ans
+}
+
+// conclude returns the answer of a passage that ended with err. An error that
+// is not a refusal is the end of the deadline between two steps.
+func (p *passage) conclude(err error) Answer {
+	if err == nil {
+		return p.ans
+	}
+	var ref *refusal
+	ans := Answer{Outcome: NotRun, Reason: ReasonDeadline, Detail: err.Error()}
+	if errors.As(err, &ref) {
+		ans = ref.answer
+	}
+	if ans.Outcome == NotRun && p.inDoubt() {
+		ans.Outcome = Unknown
+	}
+	return ans
+}
+
+// inDoubt reports whether the request may have run although the passage ended
+// with a refusal: an attempt was lost, or an unresolved claim may turn out to
+// be another instance's.
+func (p *passage) inDoubt() bool {
+	return p.lost || (p.claim.maybe && !p.claim.sure)
+}
+
+func (r *Relay) report(p *passage, ans Answer) {
+	id := event.RequestLost
+	switch ans.Outcome {
+	case Done:
+		id = event.RequestDone
+	case NotRun:
+		id = event.RequestNotRun
+	case Unknown:
+	}
+	r.log.Write(id, "workspace", p.req.Workspace, "request", p.req.ID, "service", p.req.Service,
+		"attempts", p.attempts, "reason", ans.Reason, "detail", ans.Detail)
+}
+
+func (r *Relay) validate(_ context.Context, p *passage) error {
+	for _, name := range []string{string(p.req.Workspace), string(p.req.ID), string(p.req.Service)} {
+		if err := ident.Check(name); err != nil {
+			return refuse(NotRun, ReasonInvalid, err.Error())
+		}
+	}
+	c := r.calls.Config()
+	s, ok := c.Service(p.req.Service)
+	if !ok {
+		return refuse(NotRun, ReasonNoService, fmt.Sprintf("no service %q", p.req.Service))
+	}
+	if !s.Allows(p.req.Workspace) {
+		return refuse(NotRun, ReasonForbidden, fmt.Sprintf("workspace %q may not use service %q", p.req.Workspace, s.Name))
+	}
+	if n := shape.Bytes(len(p.req.Body)); n > c.Limits.MaxBody {
+		return refuse(NotRun, ReasonTooLarge, fmt.Sprintf("body of %d bytes, at most %d are allowed", n, c.Limits.MaxBody))
+	}
+	p.service = s
+	p.lane = r.lane(c, s, p.queueLimit())
+	return nil
+}
+
+// admit waits for a place in the queue of the service.
+func (r *Relay) admit(ctx context.Context, p *passage) error {
+	wait := time.Duration(queueShare * float64(time.Until(p.req.Deadline)))
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	err := p.lane.queue.Acquire(waitCtx, p.req.Workspace, p.req.Class)
+	switch {
+	case errors.Is(err, limit.ErrShed):
+		return refuseFor(NotRun, ReasonOverload, err.Error(), overloadRetry)
+	case err != nil:
+		return refuseFor(NotRun, ReasonDeadline, err.Error(), overloadRetry)
+	}
+	p.admitted = true
+	return nil
+}
+
+// claim makes this instance the one that may run a non-idempotent request. The
+// request gives its place in the queue back while it waits for the store, so
+// that a slow store does not keep idempotent requests from the endpoints.
+func (r *Relay) claim(ctx context.Context, p *passage) error {
+	if !p.req.NonIdempotent || p.claim.sure {
+		return nil
+	}
+	p.leaveQueue()
+	if !p.lane.enterClaim(p.queueLimit()) {
+		return refuseFor(NotRun, ReasonOverload, "too many requests wait for the store", overloadRetry)
+	}
+	err := r.take(ctx, p)
+	p.lane.leaveClaim()
+	if err != nil || p.settled {
+		return err
+	}
+	return r.admit(ctx, p)
+}
+
+func (r *Relay) take(ctx context.Context, p *passage) error {
+	res, err := r.calls.Take(ctx, p.req.Workspace, p.req.ID, p.claim.nonce)
+	switch {
+	case errors.Is(err, store.ErrUnavailable):
+		return refuseFor(NotRun, ReasonStoreDown, err.Error(), r.settings.StoreRetry)
+	case err != nil:
+		p.claim.maybe = true
+		return refuse(Unknown, ReasonClaimUnresolved, err.Error())
+	case res.Mine:
+		p.claim.sure = true
+		return nil
+	}
+	r.log.Write(event.RequestClaim, "workspace", p.req.Workspace, "request", p.req.ID, "claimant", res.Claimant)
+	if res.Claimant == r.settings.Instance {
+		return refuse(Unknown, ReasonForgotten, "this instance claimed the request and no longer knows its outcome")
+	}
+	return r.ask(ctx, p, res.Claimant)
+}
+
+// ask gets the outcome from the instance that claimed the request.
+func (r *Relay) ask(ctx context.Context, p *passage, claimant ident.Instance) error {
+	ans, err := r.calls.Resolve(ctx, claimant, p.req.Workspace, p.req.ID)
+	switch {
+	case err != nil:
+		return refuse(Unknown, ReasonClaimantGone, err.Error())
+	case ans.Outcome == NotRun:
+		// The claimant has handed its claim over.
+		p.claim.sure = true
+		return nil
+	}
+	p.ans, p.settled = ans, true
+	return nil
+}
+
+// answer builds the caller's answer from the endpoint's reply.
+func (r *Relay) answer(_ context.Context, p *passage) error {
+	if p.settled {
+		return nil
+	}
+	p.ans = Answer{Outcome: Done, Status: p.reply.Status, ContentType: p.reply.ContentType, Body: p.reply.Body}
+	return nil
+}
+
+func (p *passage) leaveQueue() {
+	if p.admitted {
+		p.lane.queue.Release(p.req.Workspace)
+		p.admitted = false
+	}
+}
+
+func (p *passage) queueLimit() int {
+	if p.service.QueueLimit > 0 {
+		return p.service.QueueLimit
+	}
+	return defaultQueueLimit
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,201 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/baobabquay/baobabquay/internal/claim"
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/limit"
+	"github.com/baobabquay/baobabquay/internal/pipe"
+	"github.com/baobabquay/baobabquay/internal/route"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/shard"
+)
+
+type (
+	// Calls are the relay's connections to the rest of the system. All are
+	// required.
+	Calls struct {
+		// Config returns the configuration in force. It must not block.
+		Config func() *config.Config
+		// Send has the endpoint run the attempt. Its error wraps ErrNotSent,
+		// or is a *RefusedError, only if the request provably did not run.
+		Send func(ctx context.Context, e route.Endpoint, a Attempt) (Reply, error)
+		// Resolve asks another instance for the outcome of a request that it
+		// has claimed. The answer NotRun hands the claim over to this instance.
+		Resolve func(ctx context.Context, claimant ident.Instance, ws ident.Workspace, id ident.Request) (Answer, error)
+		// Take claims a request; it is claim.Group.Take.
+		Take func(ctx context.Context, ws ident.Workspace, id ident.Request, nonce string) (claim.Result, error)
+		// Guards is set by New where fields are nil.
+		Guards Guards
+	}
+
+	// Guards are the checks that keep the promises of the request path, as
+	// seams for tests that turn one of them off.
+	Guards struct {
+		// Matches tells whether a reply may be given to the caller.
+		Matches func(a Attempt, r Reply) bool
+		// NotRun tells whether an error of Send proves that nothing ran.
+		NotRun func(err error) bool
+		// MarkLeaving receives the word of an endpoint that it is leaving.
+		MarkLeaving func(e ident.Endpoint, now time.Time)
+		// Wait waits until no request is in flight.
+		Wait func(ctx context.Context) error
+	}
+
+	// Settings bound the relay.
+	Settings struct {
+		Instance ident.Instance
+		// MaxAttempts bounds the attempts of one request.
+		MaxAttempts int
+		// MaxDeadline bounds the time of one request. It must be far below
+		// the retention of claims.
+		MaxDeadline time.Duration
+		// DefaultTimeout applies to services that have none.
+		DefaultTimeout time.Duration
+		// Memory is the time for which answers of non-idempotent requests are
+		// remembered. It must be far below the retention of claims.
+		Memory time.Duration
+		// MemoryCount and MemoryBytes bound the remembered answers.
+		MemoryCount int
+		MemoryBytes shape.Bytes
+		// SlowAfter is the time after which an attempt that runs into its
+		// deadline counts against the endpoint. Short deadlines of one caller
+		// must not cut the limits of all.
+		SlowAfter time.Duration
+		// StoreRetry is the hint given with a refusal while the store is down.
+		StoreRetry time.Duration
+		Backoff    limit.Backoff
+	}
+
+	// Relay is the request path of one instance. It is safe for concurrent
+	// use. Use New.
+	Relay struct {
+		calls    Calls
+		settings Settings
+		routes   *route.Table
+		log      event.Log
+		metrics  *metrics.Set
+		lanes    *shard.Map[ident.Service, *lane]
+		flights  *shard.Map[flightKey, *flight]
+		memory   memory
+		busy     gauge
+		path     *pipe.Chain[*passage]
+		attempt  *pipe.Chain[*passage]
+	}
+)
+
+// Numbers of parts of the sharded maps.
+const (
+	flightParts = 64
+	laneParts   = 16
+)
+
+// DefaultSettings returns the settings in use where none are given.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxAttempts:    4,
+		MaxDeadline:    10 * time.Minute,
+		DefaultTimeout: 30 * time.Second,
+		Memory:         10 * time.Minute,
+		MemoryCount:    20_000,
+		MemoryBytes:    32 * shape.MiB,
+		SlowAfter:      time.Second,
+		StoreRetry:     time.Second,
+		Backoff:        limit.DefaultBackoff(),
+	}
+}
+
+// New returns a relay without endpoints.
+func New(c Calls, routes *route.Table, s Settings, log event.Log) *Relay {
+	r := &Relay{
+		calls:    c,
+		settings: s,
+		routes:   routes,
+		log:      log,
+		metrics:  metrics.NewSet(),
+		lanes:    shard.New[ident.Service, *lane](laneParts),
+		flights:  shard.New[flightKey, *flight](flightParts),
+		memory:   memory{maxCount: s.MemoryCount, maxBytes: s.MemoryBytes},
+	}
+	r.setGuards()
+	r.path = pipe.New("request",
+		pipe.Filter[*passage]{Name: "validate", Do: r.validate},
+		pipe.Filter[*passage]{Name: "admit", Do: r.admit},
+		pipe.Filter[*passage]{Name: "claim", Do: r.claim},
+		pipe.Filter[*passage]{Name: "deliver", Do: r.deliver},
+		pipe.Filter[*passage]{Name: "answer", Do: r.answer},
+	)
+	r.attempt = pipe.New("attempt",
+		pipe.Filter[*passage]{Name: "route", Do: r.route},
+		pipe.Filter[*passage]{Name: "send", Do: r.send},
+		pipe.Filter[*passage]{Name: "check", Do: r.check},
+	)
+	return r
+}
+
+// Metrics returns the relay's metrics.
+func (r *Relay) Metrics() *metrics.Set { return r.metrics }
+
+// UpdateEndpoints replaces the endpoints by those of the platform's list.
+func (r *Relay) UpdateEndpoints(list []route.Endpoint, now time.Time) {
+	r.routes.Update(list, now)
+	r.lanes.Range(func(s ident.Service, l *lane) bool {
+		l.refresh(r.routes, s)
+		return true
+	})
+}
+
+// Do carries the request and returns its answer. It returns when the answer is
+// there, at the request's deadline, or when ctx ends.
+func (r *Relay) Do(ctx context.Context, req Request) Answer {
+	r.busy.enterCall()
+	defer r.busy.leaveCall()
+	now := time.Now()
+	if req.Deadline.IsZero() {
+		req.Deadline = now.Add(r.timeout(req.Service))
+	}
+	req.Deadline = earlier(req.Deadline, now.Add(r.settings.MaxDeadline))
+	f, joined, ans := r.join(req, now)
+	if f == nil {
+		return ans
+	}
+	if !joined {
+		go r.fly(f, req)
+	}
+	return r.await(ctx, f, req)
+}
+
+func (r *Relay) timeout(s ident.Service) time.Duration {
+	if service, ok := r.calls.Config().Service(s); ok && service.Timeout > 0 {
+		return service.Timeout
+	}
+	return r.settings.DefaultTimeout
+}
+
+func (r *Relay) setGuards() {
+	g := &r.calls.Guards
+	if g.Matches == nil {
+		g.Matches = MatchesEcho
+	}
+	if g.NotRun == nil {
+		g.NotRun = ProvesNotRun
+	}
+	if g.MarkLeaving == nil {
+		g.MarkLeaving = r.routes.MarkLeaving
+	}
+	if g.Wait == nil {
+		g.Wait = r.busy.wait
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/relay/resolve.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/baobabquay/baobabquay/internal/ident"
+)
+
+// Resolve tells another instance the outcome of a request that this instance
+// has claimed. It waits for a request in flight until ctx ends. The answer
+// NotRun hands the claim over to the asker and is given at most once.
+func (r *Relay) Resolve(ctx context.Context, ws ident.Workspace, id ident.Request) Answer {
+	for {
+		f, ans := r.known(ws, id)
+		if f == nil {
+			return ans
+		}
+		select {
+		case <-f.done:
+		case <-ctx.Done():
+			return Answer{Reason: ReasonDeadline, Detail: "the request is still in flight"}
+		}
+	}
+}
+
+// known returns the answer to a Resolve, or the flight to wait for.
+func (r *Relay) known(ws ident.Workspace, id ident.Request) (f *flight, ans Answer) {
+	r.flights.Update(keyOf(ws, id), func(old *flight, ok bool) (*flight, bool) {
+		switch {
+		case !ok:
+			ans = Answer{Reason: ReasonForgotten, Detail: "the claimant does not know the request"}
+			return nil, false
+		case old.stage == flying:
+			f = old
+		case old.stage == answered:
+			ans = old.answer
+		case old.stage == givenUp:
+			ans = Answer{Reason: ReasonGivenUp, Detail: "another instance may run the request"}
+		case old.stage == held:
+			old.stage = givenUp
+			ans = Answer{Outcome: NotRun, Reason: old.answer.Reason, Detail: "the claim is given up"}
+		}
+		return old, true
+	})
+	return f, ans
+}
