Add the HTTP front end and the roster of workers and endpoints

Cause: callers and operators need a way in that knows no decision. Ruled out: streaming an endpoint's answer through. A cut answer could look whole to the caller; answers are read whole and sent with their length. Change: package entry with the paths under /v1, package roster with the platform's list, and Resolve between instances.

--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/intake"
+	"github.com/baobabquay/baobabquay/internal/site"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/pkg/wire"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+)
+
+// maxConfig bounds the text of a configuration in bytes. 250 workspaces with
+// their guarantees take less than 200 KB.
+const maxConfig = 4 << 20
+
+func (f *front) addAdmin(r *mux.Router) {
+	r.HandleFunc("/config", f.operator(f.showConfig)).Methods(http.MethodGet)
+	r.HandleFunc("/config", f.operator(f.applyConfig)).Methods(http.MethodPut)
+	r.HandleFunc("/domains/{name}", f.operator(f.setDomain)).Methods(http.MethodPut)
+	r.HandleFunc("/status", f.operator(f.status)).Methods(http.MethodGet)
+	r.HandleFunc("/jobs/{workspace}", f.operator(f.listAll)).Methods(http.MethodGet)
+	r.HandleFunc("/explain/{workspace}/{id}", f.operator(f.explain)).Methods(http.MethodGet)
+}
+
+// operator identifies an operator by its key. While no configuration has been
+// accepted there is no operator yet, and whoever reaches the instance may
+// apply the first one.
+func (f *front) operator(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := f.deps.Config()
+		if _, ok := c.OperatorOfKey(bearer(r)); !ok && c.Version > 0 {
+			writeError(w, http.StatusUnauthorized, wire.Error{
+				Outcome: wire.NotRun, Reason: reasonKey, Detail: "the key belongs to no operator",
+			})
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (f *front) showConfig(w http.ResponseWriter, _ *http.Request) {
+	c := f.deps.Config()
+	writeJSON(w, http.StatusOK, wire.Config{Version: c.Version, Text: f.deps.Admin.Render(c)})
+}
+
+func (f *front) applyConfig(w http.ResponseWriter, r *http.Request) {
+	var change wire.ConfigChange
+	if !readJSON(w, r, maxConfig, &change) {
+		return
+	}
+	next, err := f.deps.Admin.Parse(change.Text)
+	if err != nil {
+		writeError(w, http.StatusUnprocessableEntity, wire.Error{
+			Outcome: wire.NotRun, Reason: reasonConfig, Detail: err.Error(),
+		})
+		return
+	}
+	accepted, err := f.deps.Admin.Apply(r.Context(), change.Base, next)
+	f.writeChange(w, accepted, err)
+}
+
+func (f *front) setDomain(w http.ResponseWriter, r *http.Request) {
+	var change wire.DomainChange
+	if !readJSON(w, r, maxConfig, &change) {
+		return
+	}
+	name := ident.Domain(mux.Vars(r)["name"])
+	if _, ok := f.deps.Config().Domain(name); !ok {
+		writeError(w, http.StatusNotFound, wire.Error{
+			Outcome: wire.NotRun, Reason: reasonConfig, Detail: "no such failure domain: " + string(name),
+		})
+		return
+	}
+	accepted, err := f.deps.Admin.SetDomain(r.Context(), name, change.InService)
+	f.writeChange(w, accepted, err)
+}
+
+// writeChange answers a change of the configuration.
+func (f *front) writeChange(w http.ResponseWriter, accepted *config.Config, err error) {
+	var conflict *site.ConflictError
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, wire.Accepted{Version: accepted.Version})
+	case errors.As(err, &conflict):
+		writeError(w, http.StatusConflict, wire.Error{
+			Outcome: wire.NotRun, Reason: reasonConflict, Detail: err.Error(),
+		})
+	case errors.Is(err, site.ErrUnknown), errors.Is(err, store.ErrUncertain):
+		writeError(w, http.StatusServiceUnavailable, wire.Error{
+			Outcome: wire.Unknown, Reason: string(intake.ReasonLost), Detail: err.Error(),
+		})
+	default:
+		writeError(w, http.StatusServiceUnavailable, wire.Error{
+			Outcome: wire.NotRun, Reason: string(intake.ReasonStore), Detail: err.Error(),
+		})
+	}
+}
+
+func (f *front) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, f.deps.Admin.Status())
+}
+
+func (f *front) listAll(w http.ResponseWriter, r *http.Request) {
+	all, err := f.deps.Jobs.List(r.Context(), ident.Workspace(mux.Vars(r)["workspace"]))
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, listForm(all))
+}
+
+func (f *front) explain(w http.ResponseWriter, r *http.Request) {
+	v := mux.Vars(r)
+	j, err := f.deps.Jobs.Read(r.Context(), ident.Workspace(v["workspace"]), ident.Job(v["id"]))
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, wire.Explanation{
+		ID: string(j.ID), State: j.State.String(), Reason: f.deps.Admin.Explain(j),
+	})
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
+	"github.com/baobabquay/baobabquay/internal/relay"
 	"github.com/baobabquay/baobabquay/internal/shard"
 )
 
@@ -65,6 +66,20 @@
 	return nil
 }
 
+// Resolve asks the instance at the address for the outcome of a request that
+// it has claimed.
+func (c *Client) Resolve(
+	ctx context.Context, to netip.AddrPort, w ident.Workspace, id ident.Request,
+) (relay.Answer, error) {
+	answer, err := c.client(to).Resolve(ctx, connect.NewRequest(&peerv1.ResolveRequest{
+		Workspace: string(w), Request: string(id),
+	}))
+	if err != nil {
+		return relay.Answer{}, fmt.Errorf("resolve %s at %v: %w", id, to, err)
+	}
+	return answerFromForm(answer.Msg)
+}
+
 func (c *Client) client(to netip.AddrPort) peerv1.PeerClient {
 	conn, _ := c.clients.LoadOrStore(addressKey(to.String()), func() *connection {
 		return &connection{peer: peerv1.NewPeerClient(c.http, "http://"+to.String())}
--- a/internal/peer/form.go
+++ b/internal/peer/form.go
@@ -7,9 +7,14 @@
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/record"
+	"github.com/baobabquay/baobabquay/internal/relay"
 	"github.com/baobabquay/baobabquay/internal/sched"
+	"github.com/pkg/errors"
 )
 
+// errOutcome means that an answer names no known outcome.
+var errOutcome = errors.New("unknown outcome")
+
 func stateToForm(s member.State) (*peerv1.State, error) {
 	f := &peerv1.State{
 		Instance:      string(s.Instance),
@@ -69,3 +74,31 @@
 	}
 	return s, nil
 }
+
+func answerToForm(a relay.Answer) *peerv1.ResolveResponse {
+	return &peerv1.ResolveResponse{
+		Outcome:     a.Outcome.String(),
+		Status:      int32(a.Status),
+		ContentType: a.ContentType,
+		Body:        a.Body,
+		Reason:      string(a.Reason),
+		Detail:      a.Detail,
+	}
+}
+
+func answerFromForm(f *peerv1.ResolveResponse) (relay.Answer, error) {
+	a := relay.Answer{
+		Status:      int(f.GetStatus()),
+		ContentType: f.GetContentType(),
+		Body:        f.GetBody(),
+		Reason:      relay.Reason(f.GetReason()),
+		Detail:      f.GetDetail(),
+	}
+	for _, o := range []relay.Outcome{relay.Done, relay.NotRun, relay.Unknown} {
+		if o.String() == f.GetOutcome() {
+			a.Outcome = o
+			return a, nil
+		}
+	}
+	return relay.Answer{}, fmt.Errorf("%q: %w", f.GetOutcome(), errOutcome)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
+	"github.com/baobabquay/baobabquay/internal/relay"
 )
 
 type (
@@ -16,6 +17,7 @@
 	Server struct {
 		Exchange func(from member.State) member.State
 		Notify   func(d ident.Domain, w ident.Workspace, j ident.Job)
+		Resolve  func(ctx context.Context, w ident.Workspace, id ident.Request) relay.Answer
 	}
 
 	// handler adapts a Server to the generated service.
@@ -53,3 +55,12 @@
 	h.server.Notify(ident.Domain(m.GetDomain()), ident.Workspace(m.GetWorkspace()), ident.Job(m.GetJob()))
 	return connect.NewResponse(&peerv1.NotifyResponse{}), nil
 }
+
+// Resolve passes the names on and encodes the answer.
+func (h handler) Resolve(
+	ctx context.Context, r *connect.Request[peerv1.ResolveRequest],
+) (*connect.Response[peerv1.ResolveResponse], error) {
+	m := r.Msg
+	answer := h.server.Resolve(ctx, ident.Workspace(m.GetWorkspace()), ident.Request(m.GetRequest()))
+	return connect.NewResponse(answerToForm(answer)), nil
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,119 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/route"
+	"github.com/baobabquay/baobabquay/internal/worker"
+)
+
+type (
+	// Listing is the content of the platform's list.
+	Listing struct {
+		Workers   []worker.Spec
+		Endpoints []route.Endpoint
+	}
+
+	// Deps are the calls that a Roster makes.
+	Deps struct {
+		Read func(ctx context.Context) (Listing, error)
+		// Update is called with the endpoints of each list that was read.
+		Update func(es []route.Endpoint, now time.Time)
+	}
+
+	// Roster is the last list that was read. It is safe for concurrent use.
+	Roster struct {
+		deps Deps
+
+		mu      sync.Mutex
+		listing Listing
+		read    bool
+	}
+)
+
+const (
+	readEvery   = time.Second
+	readTimeout = time.Second
+)
+
+// New returns an empty roster.
+func New(d Deps) *Roster { return &Roster{deps: d} }
+
+// Run reads the list each second until ctx ends. Without an answer the last
+// list stays.
+func (r *Roster) Run(ctx context.Context) {
+	for {
+		_ = r.Refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readEvery):
+		}
+	}
+}
+
+// Refresh reads the list once.
+func (r *Roster) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	l, err := r.deps.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read list of instances: %w", err)
+	}
+	r.mu.Lock()
+	r.listing, r.read = l, true
+	r.mu.Unlock()
+	if r.deps.Update != nil {
+		r.deps.Update(l.Endpoints, time.Now())
+	}
+	return nil
+}
+
+// IsRead reports whether a list has been read.
+func (r *Roster) IsRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
+// Workers returns the workers of a domain.
+func (r *Roster) Workers(d ident.Domain) []worker.Spec {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var in []worker.Spec
+	for _, w := range r.listing.Workers {
+		if w.Domain == d {
+			in = append(in, w)
+		}
+	}
+	return in
+}
+
+// AllWorkers returns the workers of all domains.
+func (r *Roster) AllWorkers() []worker.Spec {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]worker.Spec(nil), r.listing.Workers...)
+}
+
+// Endpoints returns the endpoints of all services.
+func (r *Roster) Endpoints() []route.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]route.Endpoint(nil), r.listing.Endpoints...)
+}
+
+// FleetOf returns the workers of a domain as if they were all free, for the
+// question whether a shape can ever fit.
+func (r *Roster) FleetOf(d ident.Domain) []fleet.Worker {
+	var all []fleet.Worker
+	for _, spec := range r.Workers(d) {
+		all = append(all, fleet.Worker{Spec: spec, Free: spec.Capacity})
+	}
+	return all
+}
