Check every value of a guaranteed shape in one run

Cause: Shape.Check stops at the first mistake, so a shape with two of them took two runs to correct, and the mistake named no key. Ruled out: copying the bounds of shapes into package config; they would drift apart. Change: Check tests each value of a shape beside valid other ones and points to its field. Conclusion: linter clean, tests of config pass with -race.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -129,9 +129,7 @@
 func (k *checker) checkGuarantee(w Workspace, g Guarantee) {
 	part := Path{Kind: GuaranteeKind, Name: GuaranteeName(w.Name, g.Name)}
 	k.checkPart(part, g.Name)
-	if err := g.Shape.Check(); err != nil {
-		k.add(part, err.Error(), "")
-	}
+	k.checkShape(part, g.Shape)
 	checkRange(k, Path{GuaranteeKind, part.Name, FieldCount}, g.Count, CountRange)
 	homes := Path{GuaranteeKind, part.Name, FieldHomes}
 	if len(g.Homes) != 0 && len(g.Homes) != g.Count {
@@ -144,6 +142,29 @@
 	}
 }
 
+// checkShape checks each value of a shape beside valid other ones, because
+// Shape.Check stops at the first mistake.
+func (k *checker) checkShape(part Path, s shape.Shape) {
+	one, m := shape.Resources{Accelerators: 1}, s.Member
+	for _, probe := range []struct {
+		field Field
+		shape shape.Shape
+	}{
+		{FieldMembers, shape.Shape{Members: s.Members, Member: one}},
+		{FieldAccelerators, shape.Shape{Members: 1, Member: shape.Resources{Accelerators: m.Accelerators, Processors: 1}}},
+		{FieldProcessors, shape.Shape{Members: 1, Member: shape.Resources{Accelerators: 1, Processors: m.Processors}}},
+		{FieldMemory, shape.Shape{Members: 1, Member: shape.Resources{Accelerators: 1, Memory: m.Memory}}},
+		{FieldAdjacency, shape.Shape{Members: 1, Member: one, Adjacency: s.Adjacency}},
+	} {
+		if err := probe.shape.Check(); err != nil {
+			k.add(Path{GuaranteeKind, part.Name, probe.field}, err.Error(), "")
+		}
+	}
+	if m == (shape.Resources{}) {
+		k.add(part, "a member needs nothing", "at least one of accelerators, processors and memory")
+	}
+}
+
 func (k *checker) checkService(s Service) {
 	name := string(s.Name)
 	k.checkPart(Path{Kind: ServiceKind, Name: name}, name)
