--- /dev/null
+++ b/internal/inifmt/decode.go
@@ -0,0 +1,137 @@
+package inifmt
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/keys"
+	"github.com/baobabquay/baobabquay/internal/shape"
+)
+
+// decoder turns sections into a configuration.
+type decoder struct {
+	out      *config.Config
+	mistakes Mistakes
+}
+
+// Values that apply where no file has the key.
+const (
+	defaultWeight     = 1
+	defaultQueuedJobs = 1000
+	defaultQueueLimit = 1000
+	defaultTimeout    = 30 * time.Second
+	defaultMaxAnswer  = 8 * shape.MiB
+)
+
+// decode returns the configuration that the sections describe. Where a value
+// is malformed it has the default.
+func decode(sections []*section) (*config.Config, Mistakes) {
+	d := decoder{out: &config.Config{Limits: config.DefaultLimits()}}
+	for _, s := range sections {
+		d.decodePart(s)
+	}
+	// Guarantees may stand above their workspace.
+	for _, s := range sections {
+		if s.part.Kind == config.GuaranteeKind {
+			d.decodeGuarantee(s)
+		}
+	}
+	return d.out, d.mistakes
+}
+
+func (d *decoder) decodePart(s *section) {
+	c := d.out
+	switch s.part.Kind {
+	case config.SiteKind:
+		c.Site = required[string](d, s, config.FieldName)
+		c.Version = optional[int64](s, config.FieldVersion, 0)
+	case config.DomainKind:
+		c.Domains = append(c.Domains, config.Domain{
+			Name:      ident.Domain(s.part.Name),
+			Region:    ident.Region(required[string](d, s, config.FieldRegion)),
+			InService: optional(s, config.FieldInService, true),
+		})
+	case config.WorkspaceKind:
+		c.Workspaces = append(c.Workspaces, config.Workspace{
+			Name:          ident.Workspace(s.part.Name),
+			Weight:        optional(s, config.FieldWeight, defaultWeight),
+			MaxQueuedJobs: optional(s, config.FieldMaxQueuedJobs, defaultQueuedJobs),
+			Keys:          required[[]keys.Hash](d, s, config.FieldKeys),
+		})
+	case config.ServiceKind:
+		c.Services = append(c.Services, config.Service{
+			Name:       ident.Service(s.part.Name),
+			Workspaces: optional[[]ident.Workspace](s, config.FieldWorkspaces, nil),
+			Timeout:    optional(s, config.FieldTimeout, defaultTimeout),
+			QueueLimit: optional(s, config.FieldQueueLimit, defaultQueueLimit),
+			MaxAnswer:  optional(s, config.FieldMaxAnswer, defaultMaxAnswer),
+		})
+	case config.OperatorKind:
+		c.Operators = append(c.Operators, config.Operator{
+			Name: s.part.Name,
+			Keys: required[[]keys.Hash](d, s, config.FieldKeys),
+		})
+	case config.LimitsKind:
+		decodeLimits(&c.Limits, s)
+	}
+}
+
+func decodeLimits(l *config.Limits, s *section) {
+	l.MaxBody = optional(s, config.FieldMaxBody, l.MaxBody)
+	l.RetryShare = optional(s, config.FieldRetryShare, l.RetryShare)
+	l.StopDelay = optional(s, config.FieldStopDelay, l.StopDelay)
+	l.StopLimit = optional(s, config.FieldStopLimit, l.StopLimit)
+	l.CheckpointLimit = optional(s, config.FieldCheckpointLimit, l.CheckpointLimit)
+}
+
+func (d *decoder) decodeGuarantee(s *section) {
+	workspace, name, _ := strings.Cut(s.part.Name, "/")
+	g := config.Guarantee{
+		Name: name,
+		Shape: shape.Shape{
+			Members: required[int](d, s, config.FieldMembers),
+			Member: shape.Resources{
+				Accelerators: optional(s, config.FieldAccelerators, 0),
+				Processors:   optional(s, config.FieldProcessors, 0),
+				Memory:       optional[shape.Bytes](s, config.FieldMemory, 0),
+			},
+			Adjacency: required[shape.Adjacency](d, s, config.FieldAdjacency),
+		},
+		Count: required[int](d, s, config.FieldCount),
+		Homes: optional[[]ident.Domain](s, config.FieldHomes, nil),
+	}
+	at := slices.IndexFunc(d.out.Workspaces, func(w config.Workspace) bool { return string(w.Name) == workspace })
+	if at < 0 {
+		d.add(s, "", fmt.Sprintf("a guarantee of the unknown workspace %q", workspace), "the names of workspaces")
+		return
+	}
+	d.out.Workspaces[at].Guarantees = append(d.out.Workspaces[at].Guarantees, g)
+}
+
+func (d *decoder) add(s *section, key config.Field, detail, allowed string) {
+	d.mistakes = append(d.mistakes, Mistake{s.place, header(s.part), string(key), detail, allowed})
+}
+
+// optional returns the value of the key, or preset where there is none or a
+// malformed one, which parse has reported.
+func optional[T any](s *section, key config.Field, preset T) T {
+	if v, ok := s.entries[key].value.(T); ok {
+		return v
+	}
+	return preset
+}
+
+// required records a mistake where the key is missing.
+func required[T any](d *decoder, s *section, key config.Field) T {
+	var zero T
+	if _, ok := s.entries[key]; !ok {
+		d.add(s, key, "the key is missing", formats[key].allowed)
+		// The entry without a value keeps the check from a second mistake.
+		s.entries[key] = entry{place: s.place}
+	}
+	return optional(s, key, zero)
+}
