--- /dev/null
+++ b/internal/inifmt/files_test.go
@@ -0,0 +1,138 @@
+package inifmt
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/worker"
+)
+
+const examples = "../../examples"
+
+// readExample reads a base file with the given overlays.
+func readExample(t *testing.T, dir string, overlays ...string) *Result {
+	t.Helper()
+	var sources []Source
+	for _, name := range append([]string{"base"}, overlays...) {
+		file := filepath.Join(examples, dir, name+".ini")
+		b, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		sources = append(sources, Source{name + ".ini", string(b)})
+	}
+	r, err := Read(t.Context(), sources[0], sources[1:]...)
+	assert.NilError(t, err)
+	return r
+}
+
+// TestExampleFiles guards against example files with mistakes, alone or with
+// overlays, and against unnoticed changes of what they mean.
+func TestExampleFiles(t *testing.T) {
+	for dir, overlays := range map[string][]string{
+		"khangai": {"ulaanbaatar", "erdenet"}, "cedarline": {"coast", "interior"},
+	} {
+		readExample(t, dir)
+		readExample(t, dir, overlays...)
+		for _, overlay := range overlays {
+			golden.Assert(t, rendered(readExample(t, dir, overlay)), dir+"-"+overlay+".golden")
+		}
+	}
+}
+
+// TestExampleGuaranteesFit guards against example guarantees that do not fit
+// any two of the three domains.
+func TestExampleGuaranteesFit(t *testing.T) {
+	for dir, processors := range map[string]int{"khangai": 60, "cedarline": 130} {
+		c := readExample(t, dir).Config
+		for _, out := range c.Domains {
+			var free [][]fleet.Worker
+			for _, d := range c.Domains {
+				if d.Name != out.Name {
+					free = append(free, workersOf(d.Name, processors))
+				}
+			}
+			for _, s := range guaranteed(c) {
+				assert.Assert(t, placed(free, s), "%s without %s: no place for %v", dir, out.Name, s)
+			}
+		}
+	}
+}
+
+// TestExampleKeys guards against a table of example keys that does not match
+// the files.
+func TestExampleKeys(t *testing.T) {
+	b, err := os.ReadFile(filepath.Join(examples, "README.md"))
+	assert.NilError(t, err)
+	configs := map[string]*config.Config{
+		"khangai":   readExample(t, "khangai", "ulaanbaatar", "erdenet").Config,
+		"cedarline": readExample(t, "cedarline", "coast", "interior").Config,
+	}
+	found := 0
+	for line := range strings.Lines(string(b)) {
+		cells := strings.Split(line, "|")
+		if len(cells) != 5 || configs[strings.TrimSpace(cells[1])] == nil {
+			continue
+		}
+		c, name, key := configs[strings.TrimSpace(cells[1])], strings.Trim(cells[2], " `"), strings.Trim(cells[3], " `")
+		w, _ := c.WorkspaceOfKey(key)
+		o, _ := c.OperatorOfKey(key)
+		assert.Equal(t, string(w.Name)+o.Name, name)
+		found++
+	}
+	want := 0
+	for _, c := range configs {
+		want += len(c.Workspaces) + len(c.Operators)
+	}
+	assert.Equal(t, found, want)
+}
+
+func workersOf(d ident.Domain, processors int) []fleet.Worker {
+	capacity := shape.Resources{Accelerators: 8, Processors: processors, Memory: 256_000_000_000}
+	var workers []fleet.Worker
+	for i := range 17 {
+		spec := worker.Spec{
+			ID: ident.Worker(fmt.Sprintf("%s-%02d", d, i)), Domain: d,
+			Rack: ident.Rack(fmt.Sprintf("r%d", i/8)), Capacity: capacity,
+		}
+		workers = append(workers, fleet.Worker{Spec: spec, Free: capacity})
+	}
+	return workers
+}
+
+// guaranteed returns every guaranteed shape, largest first.
+func guaranteed(c *config.Config) []shape.Shape {
+	var shapes []shape.Shape
+	for _, w := range c.Workspaces {
+		for _, g := range w.Guarantees {
+			shapes = append(shapes, slices.Repeat([]shape.Shape{g.Shape}, g.Count)...)
+		}
+	}
+	slices.SortStableFunc(shapes, func(a, b shape.Shape) int { return b.Total().Accelerators - a.Total().Accelerators })
+	return shapes
+}
+
+// placed takes room for s from the first domain that has it.
+func placed(free [][]fleet.Worker, s shape.Shape) bool {
+	for _, workers := range free {
+		slots, ok := fleet.Fit(workers, s, nil)
+		if !ok {
+			continue
+		}
+		for _, slot := range slots {
+			i := slices.IndexFunc(workers, func(w fleet.Worker) bool { return w.Spec.ID == slot.Worker })
+			workers[i].Free = workers[i].Free.Sub(s.Member.Times(slot.Members))
+		}
+		return true
+	}
+	return false
+}
