--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -66,6 +66,20 @@
 	return nil
 }
 
+// Explain asks the instance at the address why a job waits. The reason is empty
+// if the instance does not know.
+func (c *Client) Explain(
+	ctx context.Context, to netip.AddrPort, d ident.Domain, w ident.Workspace, j ident.Job,
+) (string, error) {
+	answer, err := c.client(to).Explain(ctx, connect.NewRequest(&peerv1.ExplainRequest{
+		Domain: string(d), Workspace: string(w), Job: string(j),
+	}))
+	if err != nil {
+		return "", fmt.Errorf("explain job %s at %v: %w", j, to, err)
+	}
+	return answer.Msg.GetReason(), nil
+}
+
 // Resolve asks the instance at the address for the outcome of a request that
 // it has claimed.
 func (c *Client) Resolve(
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,7 +17,9 @@
 	Server struct {
 		Exchange func(from member.State) member.State
 		Notify   func(d ident.Domain, w ident.Workspace, j ident.Job)
-		Resolve  func(ctx context.Context, w ident.Workspace, id ident.Request) relay.Answer
+		// Explain returns why a job of an owned shard waits, or "".
+		Explain func(d ident.Domain, w ident.Workspace, j ident.Job) string
+		Resolve func(ctx context.Context, w ident.Workspace, id ident.Request) relay.Answer
 	}
 
 	// handler adapts a Server to the generated service.
@@ -56,6 +58,15 @@
 	return connect.NewResponse(&peerv1.NotifyResponse{}), nil
 }
 
+// Explain passes the names on and returns the reason.
+func (h handler) Explain(
+	_ context.Context, r *connect.Request[peerv1.ExplainRequest],
+) (*connect.Response[peerv1.ExplainResponse], error) {
+	m := r.Msg
+	reason := h.server.Explain(ident.Domain(m.GetDomain()), ident.Workspace(m.GetWorkspace()), ident.Job(m.GetJob()))
+	return connect.NewResponse(&peerv1.ExplainResponse{Reason: reason}), nil
+}
+
 // Resolve passes the names on and encodes the answer.
 func (h handler) Resolve(
 	ctx context.Context, r *connect.Request[peerv1.ResolveRequest],
--- a/internal/peerv1/peer.connect.go
+++ b/internal/peerv1/peer.connect.go
@@ -37,6 +37,8 @@
 	PeerExchangeProcedure = "/baobabquay.peer.v1.Peer/Exchange"
 	// PeerNotifyProcedure is the fully-qualified name of the Peer's Notify RPC.
 	PeerNotifyProcedure = "/baobabquay.peer.v1.Peer/Notify"
+	// PeerExplainProcedure is the fully-qualified name of the Peer's Explain RPC.
+	PeerExplainProcedure = "/baobabquay.peer.v1.Peer/Explain"
 	// PeerResolveProcedure is the fully-qualified name of the Peer's Resolve RPC.
 	PeerResolveProcedure = "/baobabquay.peer.v1.Peer/Resolve"
 )
@@ -47,6 +49,8 @@
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 	// Notify tells that a queue entry of a shard changed.
 	Notify(context.Context, *connect.Request[NotifyRequest]) (*connect.Response[NotifyResponse], error)
+	// Explain asks the owner of a shard why a job waits.
+	Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error)
 	// Resolve asks what became of a request that the receiver has claimed.
 	Resolve(context.Context, *connect.Request[ResolveRequest]) (*connect.Response[ResolveResponse], error)
 }
@@ -74,6 +78,12 @@
 			connect.WithSchema(peerMethods.ByName("Notify")),
 			connect.WithClientOptions(opts...),
 		),
+		explain: connect.NewClient[ExplainRequest, ExplainResponse](
+			httpClient,
+			baseURL+PeerExplainProcedure,
+			connect.WithSchema(peerMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 		resolve: connect.NewClient[ResolveRequest, ResolveResponse](
 			httpClient,
 			baseURL+PeerResolveProcedure,
@@ -87,6 +97,7 @@
 type peerClient struct {
 	exchange *connect.Client[ExchangeRequest, ExchangeResponse]
 	notify   *connect.Client[NotifyRequest, NotifyResponse]
+	explain  *connect.Client[ExplainRequest, ExplainResponse]
 	resolve  *connect.Client[ResolveRequest, ResolveResponse]
 }
 
@@ -100,6 +111,11 @@
 	return c.notify.CallUnary(ctx, req)
 }
 
+// Explain calls baobabquay.peer.v1.Peer.Explain.
+func (c *peerClient) Explain(ctx context.Context, req *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // Resolve calls baobabquay.peer.v1.Peer.Resolve.
 func (c *peerClient) Resolve(ctx context.Context, req *connect.Request[ResolveRequest]) (*connect.Response[ResolveResponse], error) {
 	return c.resolve.CallUnary(ctx, req)
@@ -111,6 +127,8 @@
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 	// Notify tells that a queue entry of a shard changed.
 	Notify(context.Context, *connect.Request[NotifyRequest]) (*connect.Response[NotifyResponse], error)
+	// Explain asks the owner of a shard why a job waits.
+	Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error)
 	// Resolve asks what became of a request that the receiver has claimed.
 	Resolve(context.Context, *connect.Request[ResolveRequest]) (*connect.Response[ResolveResponse], error)
 }
@@ -134,6 +152,12 @@
 		connect.WithSchema(peerMethods.ByName("Notify")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerExplainHandler := connect.NewUnaryHandler(
+		PeerExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(peerMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerResolveHandler := connect.NewUnaryHandler(
 		PeerResolveProcedure,
 		svc.Resolve,
@@ -146,6 +170,8 @@
 			peerExchangeHandler.ServeHTTP(w, r)
 		case PeerNotifyProcedure:
 			peerNotifyHandler.ServeHTTP(w, r)
+		case PeerExplainProcedure:
+			peerExplainHandler.ServeHTTP(w, r)
 		case PeerResolveProcedure:
 			peerResolveHandler.ServeHTTP(w, r)
 		default:
@@ -165,6 +191,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("baobabquay.peer.v1.Peer.Notify is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("baobabquay.peer.v1.Peer.Explain is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Resolve(context.Context, *connect.Request[ResolveRequest]) (*connect.Response[ResolveResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("baobabquay.peer.v1.Peer.Resolve is not implemented"))
 }
