Log the ends of a worker's attempts in the order of their instants

Cause: ends that one call notices were logged in the order of a map, which differed between runs. A test of the stand-in worker failed by it.

Ruled out: sorting in each reader of the log, since the machine knows the instants and is the only writer.

Change: the machine sorts the ends that it notices by instant, then by attempt.

Conclusion: a log of one worker is ordered between two calls.

--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -334,12 +335,19 @@
 
 // settle brings the attempts up to now: ends of programs, leases and holds.
 func (m *Machine) settle(now time.Time) {
+	var ends []Entry
 	for a, t := range m.attempts {
 		if e, at := t.settle(now); e != "" {
-			m.log(at, a, e, t.members)
+			ends = append(ends, Entry{At: at, Attempt: a, Event: e, Members: t.members})
 			m.ended[a] = at
 		}
 	}
+	slices.SortFunc(ends, func(x, y Entry) int {
+		return cmp.Or(x.At.Compare(y.At), compareAttempts(x.Attempt, y.Attempt))
+	})
+	for _, e := range ends {
+		m.log(e.At, e.Attempt, e.Event, e.Members)
+	}
 	for a, at := range m.ended {
 		if _, ok := m.attempts[a]; !ok && now.Sub(at) > endedKept {
 			delete(m.ended, a)
