Read head rows instead of whole configurations and queues

Cause: every shard owner read the whole configuration and its whole queue twice a second. Ruled out: reading less often; the configuration read is the proof that a start carries, and its age bounds starts in a domain taken out. Change: config/head and queueHead/<domain> are written in the transactions that change what they stand for; readers fetch the rest when they differ.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -270,7 +270,11 @@
 	key := record.JobKey(j.Workspace, j.ID)
 	_, err = store.CommitSure(ctx, in.deps.Table, store.Txn{
 		Checks: []store.Check{{Key: key, Version: version}},
-		Puts:   []store.Put{{Key: key, Value: value}, {Key: record.QueueKey(j.Domain, j.Workspace, j.ID)}},
+		Puts: []store.Put{
+			{Key: key, Value: value},
+			{Key: record.QueueKey(j.Domain, j.Workspace, j.ID)},
+			{Key: record.QueueHeadKey(j.Domain)},
+		},
 	})
 	if err != nil {
 		return fmt.Errorf("write job %s: %w", j.ID, err)
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -41,6 +41,10 @@
 func (s *Shard) queue(ctx context.Context, r *round) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	head, changed, err := s.queueHead(ctx)
+	if err != nil || !changed {
+		return err
+	}
 	entries, err := s.deps.Table.Scan(ctx, record.QueueOf(s.deps.Domain))
 	if err != nil {
 		return fmt.Errorf("scan queue: %w", err)
@@ -63,9 +67,31 @@
 		return err
 	}
 	s.forget(present)
+	s.noteHead(r, head)
 	return nil
 }
 
+// queueHead returns the version of the queue's head row and whether it differs
+// from that of the last whole scan. The head is read before the scan, so a
+// change between the two is seen again in the next round.
+func (s *Shard) queueHead(ctx context.Context) (int64, bool, error) {
+	row, err := s.deps.Table.Get(ctx, record.QueueHeadKey(s.deps.Domain))
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return 0, false, fmt.Errorf("get queue head: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return row.Version, !s.scanned || row.Version != s.head, nil
+}
+
+func (s *Shard) noteHead(r *round, head int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch == r.lease.Epoch {
+		s.head, s.scanned = head, true
+	}
+}
+
 func (s *Shard) load(ctx context.Context, r *round, k jobKey) error {
 	row, err := s.deps.Table.Get(ctx, record.JobKey(k.workspace, k.job))
 	if errors.Is(err, store.ErrNotFound) {
@@ -124,7 +150,10 @@
 			{Key: record.JobKey(next.Workspace, next.ID), Version: h.version},
 			r.lease.Check,
 		},
-		Puts: []store.Put{{Key: record.JobKey(next.Workspace, next.ID), Value: value}},
+		Puts: []store.Put{
+			{Key: record.JobKey(next.Workspace, next.ID), Value: value},
+			{Key: record.QueueHeadKey(next.Domain)},
+		},
 	}
 	old := record.QueueKey(h.job.Domain, next.Workspace, next.ID)
 	if next.State.Ended() {
@@ -134,6 +163,7 @@
 		txn.Puts = append(txn.Puts, store.Put{Key: entry})
 		if entry != old {
 			txn.Deletes = append(txn.Deletes, old)
+			txn.Puts = append(txn.Puts, store.Put{Key: record.QueueHeadKey(h.job.Domain)})
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -52,6 +52,9 @@
 		since   time.Time
 		workers map[ident.Worker]*tracked
 		jobs    map[jobKey]held
+		// head is the version of the queue's head row at the last whole scan.
+		head    int64
+		scanned bool
 		waits   map[jobKey]string
 		summary sched.Summary
 		ready   bool
@@ -201,6 +204,7 @@
 	s.since = now
 	s.workers = make(map[ident.Worker]*tracked)
 	s.jobs = make(map[jobKey]held)
+	s.head, s.scanned = 0, false
 	s.waits = make(map[jobKey]string)
 	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
 	s.ready = false
--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -21,6 +21,10 @@
 		Limits     limitsForm      `json:"limits"`
 	}
 
+	headForm struct {
+		Version int64 `json:"version"`
+	}
+
 	domainForm struct {
 		Name      ident.Domain `json:"name"`
 		Region    ident.Region `json:"region"`
@@ -64,6 +68,20 @@
 	}
 )
 
+// EncodeHead returns the value of the row that names the committed version. It
+// is written with each configuration, so that an unchanged configuration costs
+// one small read.
+func EncodeHead(version int64) ([]byte, error) {
+	return encode("configuration head", headForm{version})
+}
+
+// DecodeHead returns the version that the row names.
+func DecodeHead(b []byte) (int64, error) {
+	var f headForm
+	err := decode("configuration head", b, &f)
+	return f.Version, err
+}
+
 // EncodeConfig returns the row value of c.
 func EncodeConfig(c *config.Config) ([]byte, error) {
 	f := configForm{Version: c.Version, Site: c.Site, Limits: limitsForm{
--- a/internal/record/key.go
+++ b/internal/record/key.go
@@ -8,14 +8,16 @@
 
 // The keys of the rows.
 const (
-	ConfigKey    = "config/current"
-	MemberPrefix = "member/"
-	leasePrefix  = "lease/"
-	beatPrefix   = "beat/"
-	jobPrefix    = "job/"
-	queuePrefix  = "queue/"
-	claimPrefix  = "claim/"
-	resultPrefix = "result/"
+	ConfigKey     = "config/current"
+	ConfigHeadKey = "config/head"
+	MemberPrefix  = "member/"
+	leasePrefix   = "lease/"
+	beatPrefix    = "beat/"
+	jobPrefix     = "job/"
+	queuePrefix   = "queue/"
+	headPrefix    = "queueHead/"
+	claimPrefix   = "claim/"
+	resultPrefix  = "result/"
 )
 
 // LeaseKey returns the key of the lease on a shard.
@@ -38,6 +40,10 @@
 	return QueueOf(d) + string(w) + "/" + string(j)
 }
 
+// QueueHeadKey returns the key of the row that is written whenever a queue
+// entry of the shard is, so that an unchanged queue costs one small read.
+func QueueHeadKey(d ident.Domain) string { return headPrefix + string(d) }
+
 // QueueOf returns the prefix of the queue entries of a shard.
 func QueueOf(d ident.Domain) string { return queuePrefix + string(d) + "/" }
 
--- a/internal/site/keeper.go
+++ b/internal/site/keeper.go
@@ -99,9 +99,17 @@
 	}
 }
 
-// Read reads the committed configuration from the store, learns it and returns
-// it. The error wraps ErrNone if there is none yet.
+// Read returns the committed configuration and learns it. It reads only the
+// head row if that names the highest version known here. The error wraps
+// ErrNone if there is no configuration yet.
 func (k *Keeper) Read(ctx context.Context) (*config.Config, error) {
+	version, err := k.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if c := k.Highest(); c.Version == version {
+		return c, nil
+	}
 	c, _, err := k.read(ctx)
 	if err != nil {
 		return nil, err
@@ -110,6 +118,21 @@
 	return c, nil
 }
 
+func (k *Keeper) readHead(ctx context.Context) (int64, error) {
+	row, err := k.deps.Table.Get(ctx, record.ConfigHeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, fmt.Errorf("read configuration head: %w", ErrNone)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read configuration head: %w", err)
+	}
+	version, err := record.DecodeHead(row.Value)
+	if err != nil {
+		return 0, fmt.Errorf("read configuration head: %w", err)
+	}
+	return version, nil
+}
+
 // Run reads the row each second and puts versions in force until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for {
@@ -171,7 +194,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("apply configuration: %w", err)
 	}
-	if err := k.commit(ctx, version, value, base); err != nil {
+	head, err := record.EncodeHead(accepted.Version)
+	if err != nil {
+		return nil, fmt.Errorf("apply configuration: %w", err)
+	}
+	if err := k.commit(ctx, version, value, head, base); err != nil {
 		return nil, fmt.Errorf("apply configuration: %w", err)
 	}
 	k.deps.Log.Write(event.ConfigApplied, "version", accepted.Version)
@@ -180,10 +207,10 @@
 	return &accepted, nil
 }
 
-func (k *Keeper) commit(ctx context.Context, version int64, value []byte, base int64) error {
+func (k *Keeper) commit(ctx context.Context, version int64, value, head []byte, base int64) error {
 	_, err := store.CommitSure(ctx, k.deps.Table, store.Txn{
 		Checks: []store.Check{{Key: record.ConfigKey, Version: version}},
-		Puts:   []store.Put{{Key: record.ConfigKey, Value: value}},
+		Puts:   []store.Put{{Key: record.ConfigKey, Value: value}, {Key: record.ConfigHeadKey, Value: head}},
 	})
 	switch {
 	case store.IsConflict(err):
