Test that a request is sent once and only where it was routed

Ruled out: provoking the transport's repeat over a socket, which depends on when it notices a closed connection.

Change: the request is made in a function of its own, whose result is checked for a body that cannot be read twice; tests of the state of a request by its connection, of a redirect with a client that follows them, and of a lost answer closing the connection.

--- a/internal/plat/call.go
+++ b/internal/plat/call.go
@@ -123,15 +123,10 @@
 	ctx context.Context, client *http.Client, to netip.AddrPort, path string, body []byte, header http.Header,
 ) (*http.Response, error) {
 	var s sending
-	// The plain reader hides its type, so that GetBody stays nil: without
-	// GetBody the transport sends no request a second time.
-	reader := struct{ io.Reader }{bytes.NewReader(body)}
-	req, err := http.NewRequestWithContext(s.follow(ctx), http.MethodPost, "http://"+to.String()+path, reader)
+	req, err := newRequest(s.follow(ctx), to, path, body, header)
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w: %w", ErrNotSent, err)
 	}
-	req.Header = header
-	req.ContentLength = int64(len(body))
 	once := *client
 	once.CheckRedirect = keepResponse
 	resp, err := once.Do(req)
@@ -144,6 +139,22 @@
 	return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 }
 
+// newRequest returns a request that the transport sends at most once: it
+// repeats none whose body it cannot read again.
+func newRequest(
+	ctx context.Context, to netip.AddrPort, path string, body []byte, header http.Header,
+) (*http.Request, error) {
+	// The plain reader hides its type, so that GetBody stays nil.
+	reader := struct{ io.Reader }{bytes.NewReader(body)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, reader)
+	if err != nil {
+		return nil, fmt.Errorf("new request: %w", err)
+	}
+	req.Header = header
+	req.ContentLength = int64(len(body))
+	return req, nil
+}
+
 // failureOf returns the failure in an answer. An answer that is no message of
 // this protocol, such as one from something in between, counts as none.
 func failureOf(status int, answer []byte) error {
--- a/internal/plat/conn_test.go
+++ b/internal/plat/conn_test.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -27,11 +30,36 @@
 	assert.Assert(t, errors.Is(err, errSealed))
 }
 
-// TestSendingForeignConn guards against a client without counted connections
-// passing a request as not sent.
-func TestSendingForeignConn(t *testing.T) {
-	var s sending
-	assert.Assert(t, !s.written(), "without a connection nothing is written")
-	s.got = true
-	assert.Assert(t, s.written())
+// TestSendingWritten guards against a request passing as not sent because its
+// connection is not counted, and against one passing as written that has got a
+// connection but has written nothing.
+func TestSendingWritten(t *testing.T) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	t.Cleanup(func() { assert.NilError(t, near.Close()) })
+	var none, foreign, silent, written sending
+	assert.Assert(t, !none.written())
+	foreign.gotConn(httptrace.GotConnInfo{Conn: near})
+	assert.Assert(t, foreign.written())
+
+	c := &conn{Conn: near}
+	written.gotConn(httptrace.GotConnInfo{Conn: c})
+	_, err := c.Write([]byte("request 1"))
+	assert.NilError(t, err)
+	assert.Assert(t, written.written())
+	silent.gotConn(httptrace.GotConnInfo{Conn: c})
+	assert.Assert(t, !silent.written())
+	_, err = c.Write([]byte("request 2"))
+	assert.Assert(t, errors.Is(err, errSealed))
+}
+
+// TestNewRequest guards against a request that the transport may repeat.
+func TestNewRequest(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		req, err := newRequest(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), "/", []byte(body), http.Header{})
+		assert.NilError(t, err)
+		assert.Assert(t, req.GetBody == nil)
+		assert.Assert(t, req.Body != nil && req.Body != http.NoBody)
+		assert.Equal(t, req.ContentLength, int64(len(body)))
+	}
 }
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -301,6 +301,7 @@
 	put := store.Txn{Checks: []store.Check{{Key: "a"}}, Puts: []store.Put{{Key: "a", Value: []byte("nonce")}}}
 	_, err := table.Commit(ctx, put)
 	assert.Assert(t, errors.Is(err, store.ErrUncertain) && !errors.Is(err, store.ErrUnavailable))
+	assert.ErrorIs(t, err, io.EOF, "the server closes the connection without an answer")
 	row, err := table.Get(ctx, "a")
 	assert.NilError(t, err)
 	assert.Equal(t, string(row.Value), "nonce")
--- a/internal/plat/send_test.go
+++ b/internal/plat/send_test.go
@@ -79,6 +79,17 @@
 	golden.Assert(t, out.String(), "send.golden")
 }
 
+// TestSendRedirect guards against a client that follows redirects sending a
+// request to where it was not routed.
+func TestSendRedirect(t *testing.T) {
+	to, requests := raw(t, "HTTP/1.1 303 Other\r\nRequest-Id: r1\r\nRequest-Attempt: 2\r\nLocation: /other\r\n"+
+		"Connection: close\r\nContent-Length: 0\r\n\r\n")
+	a, err := plat.Send(bounded(t), &http.Client{}, to, request)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, http.StatusSeeOther)
+	assert.Equal(t, requests.Load(), int64(1))
+}
+
 // TestSendNotSent guards against a request that was not written being reported
 // as lost, which would keep it from another endpoint, and against one that was
 // written being reported as not sent.
