Fix the delay in the claim tests

Cause: TestFaults compares the time of a resolution with a golden file, and the random back-off made it 3 s or 4 s. Ruled out: leaving the time out of the golden file, which would not show a resolution that stops too early. Change: the tests use a fixed random number for the back-off.

--- a/internal/claim/group_test.go
+++ b/internal/claim/group_test.go
@@ -21,6 +21,13 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// settings have a fixed delay in place of the random one.
+func settings() Settings {
+	s := DefaultSettings()
+	s.Backoff.Float64 = func() float64 { return 0.5 }
+	return s
+}
+
 func take(t *testing.T, g *Group, id string, timeout time.Duration) string {
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
@@ -73,7 +80,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFakeTable()
 			tc.set(f)
-			g := New(f.table(), "entry-1", DefaultSettings())
+			g := New(f.table(), "entry-1", settings())
 			start := time.Now()
 			got := take(t, g, "r", 10*time.Second)
 			fmt.Fprintf(&out, "%s: %s, %d commits, within %v\n", tc.name, got, len(f.commits), time.Since(start).Round(time.Second))
@@ -89,7 +96,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeTable()
 		f.faults = []fault{{lost: true, late: time.Minute}, {delay: time.Second}}
-		g := New(f.table(), "entry-1", DefaultSettings())
+		g := New(f.table(), "entry-1", settings())
 		g.table.Get = func(_ context.Context, key string) (store.Row, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -108,7 +115,7 @@
 		f := newFakeTable()
 		f.faults = []fault{{delay: time.Second}}
 		otherClaim(f, "r7")
-		g := New(f.table(), "entry-1", DefaultSettings())
+		g := New(f.table(), "entry-1", settings())
 		counts := make(chan string, 101)
 		for i := range 101 {
 			go func() { counts <- take(t, g, fmt.Sprint("r", i), 10*time.Second) }()
@@ -132,7 +139,7 @@
 func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeTable()
-		g := New(f.table(), "entry-1", DefaultSettings())
+		g := New(f.table(), "entry-1", settings())
 		for _, id := range []string{"old", "again"} {
 			assert.Equal(t, take(t, g, id, time.Second), "mine")
 		}
@@ -172,7 +179,7 @@
 }
 
 func ExampleGroup_Take() {
-	g := New(newFakeTable().table(), "entry-1", DefaultSettings())
+	g := New(newFakeTable().table(), "entry-1", settings())
 	res, err := g.Take(context.Background(), "foundry-a", "licence-17", NewNonce())
 	fmt.Println(res.Mine, err)
 	// Output: true <nil>
