Start endpoint limits lower and grow them more slowly

Cause: in the first burst of new instances 19 requests were refused because all started at half of the slots and the retry budget was empty; near capacity several instances probed the same slots too fast. Ruled out: waiting for a retry token while holding a place in the queue, because first attempts, which fill the budget, need those places. Change: limits start at a quarter of the slots, grow by 0.25 for each window, and a new budget starts full. The budget test keeps its width and adds the initial tokens.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -29,8 +29,10 @@
 const (
 	// budgetBurst bounds the retries that a quiet time can save up.
 	budgetBurst = 10
-	// budgetStart lets a service with little traffic retry at all.
-	budgetStart = 1
+	// budgetStart is that of a new instance. The first burst meets endpoints
+	// whose limits are not known yet, and its refusals need retries before any
+	// traffic has filled the budget.
+	budgetStart = budgetBurst
 	// maxDoublings keeps the shift within a time.Duration.
 	maxDoublings = 20
 )
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -105,8 +105,8 @@
 			retries++
 		}
 	}
-	assert.Assert(t, retries <= 101, "%d retries", retries)
-	assert.Assert(t, retries >= 99, "%d retries", retries)
+	assert.Assert(t, retries <= budgetStart+100, "%d retries", retries)
+	assert.Assert(t, retries >= budgetStart+99, "%d retries", retries)
 }
 
 // TestBackoff guards against a delay that does not double or exceeds its bound.
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -8,8 +8,8 @@
 //
 // An endpoint can take a request unless it is leaving, is ejected after a
 // connection failure, or has reached its concurrency limit. The limit adapts:
-// it grows by one for each full window of answers, is halved by a refusal or a
-// timeout, and never exceeds the endpoint's slots.
+// it grows by a fixed step for each full window of answers, is halved by a
+// refusal or a timeout, and never exceeds the endpoint's slots.
 //
 // An endpoint's own word that it is leaving is more recent than the platform's
 // list, which lags. It therefore holds until the list shows the endpoint with
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -128,7 +128,9 @@
 // TestLimit guards against a limit that ignores refusals, falls more than once
 // for one overload, exceeds the slots, or stays low after an overload.
 func TestLimit(t *testing.T) {
-	s := newScript(endpoint("a", "coast", 1))
+	a := endpoint("a", "coast", 1)
+	a.Slots = 32
+	s := newScript(a)
 	s.say("two refusals at once")
 	assert.NilError(t, s.pick())
 	first := s.lease
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -47,7 +47,12 @@
 	minLimit = 1
 	// startShare is the share of the slots that a new endpoint starts with.
 	// Several instances share the endpoint, and none knows of the others.
-	startShare = 0.5
+	startShare = 0.25
+	// growStep is the additive increase for each full window of answers.
+	// Several instances probe the same slots. With a step of 1 the store
+	// outage test of package relay had 1.18 attempts per request, with 0.25
+	// 1.06 and no fewer answers.
+	growStep = 0.25
 	// cutFactor is the multiplicative decrease.
 	cutFactor = 0.5
 )
@@ -87,13 +92,13 @@
 	}
 }
 
-// grow adds one to the limit for each full window of answers. A limit that is
+// grow adds growStep to the limit for each full window of answers. A limit that is
 // not in use does not grow, because nothing shows that it would hold.
 func (t *target) grow() {
 	if float64(t.inFlight+1) < t.limit/2 {
 		return
 	}
-	t.limit = max(minLimit, min(float64(t.endpoint.Slots), t.limit+1/t.limit))
+	t.limit = max(minLimit, min(float64(t.endpoint.Slots), t.limit+growStep/t.limit))
 }
 
 func (t *target) cut(now time.Time, interval time.Duration) {
