--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -33,7 +33,8 @@
 //   - the caller's next submission at this instance uses the same claim;
 //   - another instance that meets the claim asks by Resolve. The first one to
 //     ask is answered NotRun and may run the request in place of the claimant.
-//     From then on this instance answers Unknown and never runs it.
+//     From then on this instance does not run it, but tells who may: later
+//     askers are sent there, and its own callers' submissions ask there.
 //
 // Both happen under the lock of the flight's shard, so only one of them can.
 // If the answer to Resolve is lost, nobody may run the request and its outcome
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -43,11 +43,18 @@
 }
 
 func (g *gauge) wait(ctx context.Context) error {
+	idle := g.whenIdle()
 	select {
-	case <-g.whenIdle():
+	case <-idle:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+	}
+	// Both may have come at once; then nothing is in flight.
+	select {
+	case <-idle:
+		return nil
+	default:
+		return fmt.Errorf("waiting for requests in flight: %w", ctx.Err())
 	}
 }
 
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -35,13 +35,16 @@
 		claim   heldClaim
 	}
 
-	// heldClaim is the claim of a request that was not run.
+	// heldClaim is what an instance knows about its right to run a request.
 	heldClaim struct {
 		nonce string
 		// maybe is true if a commit of the claim is unresolved.
 		maybe bool
-		// sure is true if the claim is known to be ours.
+		// sure is true if this instance is the one that may run the request.
 		sure bool
+		// holder is the instance that the right was handed to. It is empty if
+		// it was not handed over, or to an instance that did not give its name.
+		holder ident.Instance
 	}
 )
 
@@ -110,7 +113,7 @@
 			ans = old.answer
 			return old, true
 		}
-		if ok && old.stage == givenUp {
+		if ok && old.stage == givenUp && old.claim.holder == "" {
 			ans = Answer{Reason: ReasonGivenUp, Detail: "another instance may run the request"}
 			return old, true
 		}
@@ -159,6 +162,8 @@
 		return flying
 	case p.lost || ans.Outcome == Done:
 		return answered
+	case p.claim.holder != "":
+		return givenUp
 	case p.claim.sure || p.claim.maybe:
 		return held
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -39,6 +39,9 @@
 		Detail      string
 		// RetryAfter is a hint for a request that was not run, or zero.
 		RetryAfter time.Duration
+		// Holder is set in answers of Resolve with the reason ReasonGivenUp:
+		// the instance to ask instead.
+		Holder ident.Instance
 	}
 
 	// Attempt is one try to have an endpoint run a request.
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -52,6 +52,8 @@
 	// queueShare is the part of the remaining time that a request may wait
 	// for a place. Later there would be no time left to run it.
 	queueShare = 0.75
+	// maxHandovers bounds the instances that are asked for one request.
+	maxHandovers = 8
 	// overloadRetry is the hint given with a refusal by a full queue.
 	overloadRetry = time.Second
 )
@@ -86,10 +88,10 @@
 }
 
 // inDoubt reports whether the request may have run although the passage ended
-// with a refusal: an attempt was lost, or an unresolved claim may turn out to
-// be another instance's.
+// with a refusal: an attempt was lost, an unresolved claim may turn out to be
+// another instance's, or the claim was handed to another instance.
 func (p *passage) inDoubt() bool {
-	return p.lost || (p.claim.maybe && !p.claim.sure)
+	return p.lost || !p.claim.sure && (p.claim.maybe || p.claim.holder != "")
 }
 
 func (r *Relay) report(p *passage, ans Answer) {
@@ -163,6 +165,9 @@
 }
 
 func (r *Relay) take(ctx context.Context, p *passage) error {
+	if p.claim.holder != "" {
+		return r.ask(ctx, p, p.claim.holder)
+	}
 	res, err := r.calls.Take(ctx, p.req.Workspace, p.req.ID, p.claim.nonce)
 	switch {
 	case errors.Is(err, store.ErrUnavailable):
@@ -181,19 +186,27 @@
 	return r.ask(ctx, p, res.Claimant)
 }
 
-// ask gets the outcome from the instance that claimed the request.
-func (r *Relay) ask(ctx context.Context, p *passage, claimant ident.Instance) error {
-	ans, err := r.calls.Resolve(ctx, claimant, p.req.Workspace, p.req.ID)
-	switch {
-	case err != nil:
-		return refuse(Unknown, ReasonClaimantGone, err.Error())
-	case ans.Outcome == NotRun:
-		// The claimant has handed its claim over.
-		p.claim.sure = true
-		return nil
+// ask gets the outcome from the instance that claimed the request, or from the
+// one that the claim was handed to.
+func (r *Relay) ask(ctx context.Context, p *passage, holder ident.Instance) error {
+	for range maxHandovers {
+		ans, err := r.calls.Resolve(ctx, holder, p.req.Workspace, p.req.ID)
+		switch {
+		case err != nil:
+			return refuse(Unknown, ReasonClaimantGone, err.Error())
+		case ans.Outcome == NotRun:
+			p.claim = heldClaim{nonce: p.claim.nonce, sure: true}
+			return nil
+		case ans.Holder == "" || ans.Holder == r.settings.Instance:
+			// An answer that names this instance means that the handover to
+			// it was lost on the way.
+			ans.Holder = ""
+			p.ans, p.settled = ans, true
+			return nil
+		}
+		holder = ans.Holder
 	}
-	p.ans, p.settled = ans, true
-	return nil
+	return refuse(Unknown, ReasonGivenUp, "the claim was handed over too often")
 }
 
 // answer builds the caller's answer from the endpoint's reply.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,7 +26,8 @@
 		// or is a *RefusedError, only if the request provably did not run.
 		Send func(ctx context.Context, e route.Endpoint, a Attempt) (Reply, error)
 		// Resolve asks another instance for the outcome of a request that it
-		// has claimed. The answer NotRun hands the claim over to this instance.
+		// has claimed; that instance calls its Relay.Resolve with the name of
+		// this one. The answer NotRun hands the claim over to this instance.
 		Resolve func(ctx context.Context, claimant ident.Instance, ws ident.Workspace, id ident.Request) (Answer, error)
 		// Take claims a request; it is claim.Group.Take.
 		Take func(ctx context.Context, ws ident.Workspace, id ident.Request, nonce string) (claim.Result, error)
--- a/internal/relay/resolve.go
+++ b/internal/relay/resolve.go
@@ -6,12 +6,14 @@
 	"github.com/baobabquay/baobabquay/internal/ident"
 )
 
-// Resolve tells another instance the outcome of a request that this instance
-// has claimed. It waits for a request in flight until ctx ends. The answer
-// NotRun hands the claim over to the asker and is given at most once.
-func (r *Relay) Resolve(ctx context.Context, ws ident.Workspace, id ident.Request) Answer {
+// Resolve tells another instance, the asker, the outcome of a request that this
+// instance has claimed. It waits for a request in flight until ctx ends. The
+// answer NotRun hands the claim over to the asker and is given at most once.
+// An asker without a name gets the same answers, but later askers are then not
+// told whom to ask.
+func (r *Relay) Resolve(ctx context.Context, asker ident.Instance, ws ident.Workspace, id ident.Request) Answer {
 	for {
-		f, ans := r.known(ws, id)
+		f, ans := r.known(asker, ws, id)
 		if f == nil {
 			return ans
 		}
@@ -24,7 +26,7 @@
 }
 
 // known returns the answer to a Resolve, or the flight to wait for.
-func (r *Relay) known(ws ident.Workspace, id ident.Request) (f *flight, ans Answer) {
+func (r *Relay) known(asker ident.Instance, ws ident.Workspace, id ident.Request) (f *flight, ans Answer) {
 	r.flights.Update(keyOf(ws, id), func(old *flight, ok bool) (*flight, bool) {
 		switch {
 		case !ok:
@@ -35,9 +37,10 @@
 		case old.stage == answered:
 			ans = old.answer
 		case old.stage == givenUp:
-			ans = Answer{Reason: ReasonGivenUp, Detail: "another instance may run the request"}
+			ans = Answer{Reason: ReasonGivenUp, Detail: "another instance may run the request", Holder: old.claim.holder}
 		case old.stage == held:
 			old.stage = givenUp
+			old.claim = heldClaim{nonce: old.claim.nonce, holder: asker}
 			ans = Answer{Outcome: NotRun, Reason: old.answer.Reason, Detail: "the claim is given up"}
 		}
 		return old, true
