Pass on the word of leaving endpoints, name missing endpoints

Ruled out: passing on what other instances told, and keeping such a word without bound: two instances could then keep a restarted endpoint barred.

--- a/internal/relay/fault_test.go
+++ b/internal/relay/fault_test.go
@@ -120,3 +120,21 @@
 	}
 	golden.Assert(t, out.String(), "death.golden")
 }
+
+// TestSlowStore guards against non-idempotent requests that wait for the store
+// and keep idempotent ones from the endpoints.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, nil)
+		w.failCommits(nil, true, 8*time.Second)
+		for i := range 50 {
+			go w.submit("entry-1", request(fmt.Sprint("once-", i)))
+		}
+		synctest.Wait()
+		start := time.Now()
+		assert.Equal(t, w.submit("entry-1", request("any")).Outcome, Done)
+		assert.Equal(t, time.Since(start), runTime)
+		advance(time.Minute)
+		w.assertNoBreach(t)
+	})
+}
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/baobabquay/baobabquay/internal/config"
@@ -70,7 +71,7 @@
 func (l *lane) refresh(t *route.Table, s ident.Service) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queue.SetCapacity(t.Capacity(s))
+	l.queue.SetCapacity(t.Capacity(s, time.Now()))
 }
 
 // enterClaim reports whether another request may wait for the store.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -29,7 +29,8 @@
 		ContentType string
 	}
 
-	// Answer is what the caller gets.
+	// Answer is what the caller gets. Its body is shared with other callers and
+	// must not be changed.
 	Answer struct {
 		Outcome     Outcome
 		Status      int
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -138,6 +138,8 @@
 	switch {
 	case errors.Is(err, limit.ErrShed):
 		return refuseFor(NotRun, ReasonOverload, err.Error(), overloadRetry)
+	case err != nil && r.routes.Capacity(p.req.Service, time.Now()) == 0:
+		return refuseFor(NotRun, ReasonNoEndpoint, err.Error(), overloadRetry)
 	case err != nil:
 		return refuseFor(NotRun, ReasonDeadline, err.Error(), overloadRetry)
 	}
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -13,7 +13,9 @@
 //
 // An endpoint's own word that it is leaving is more recent than the platform's
 // list, which lags. It therefore holds until the list shows the endpoint with
-// another address or incarnation.
+// another address or incarnation. The instances pass such words on to each
+// other (Heard and MarkTold), because each of them would otherwise learn it
+// from a request of its own.
 //
 // Each service's endpoints are under a lock of their own. No lock is held
 // while a request is sent.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -48,7 +48,7 @@
 			return g.lease(e, false), nil
 		}
 	}
-	if g.inService() {
+	if g.inService(now) {
 		return Lease{}, ErrBusy
 	}
 	return Lease{}, ErrNoEndpoint
@@ -75,7 +75,7 @@
 	}
 	var next time.Time
 	for _, e := range g.targets {
-		if e.leaving() || !e.ejected(now) {
+		if e.leaving(now) || !e.ejected(now) {
 			continue
 		}
 		if next.IsZero() || e.ejectedUntil.Before(next) {
@@ -119,9 +119,9 @@
 	return Lease{group: g, target: e, endpoint: e.endpoint, local: local}
 }
 
-func (g *group) inService() bool {
+func (g *group) inService(now time.Time) bool {
 	for _, e := range g.targets {
-		if !e.leaving() {
+		if !e.leaving(now) {
 			return true
 		}
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -119,7 +119,40 @@
 }
 
 // MarkLeaving records the endpoint's own word that it is leaving.
-func (t *Table) MarkLeaving(name ident.Endpoint, _ time.Time) {
+func (t *Table) MarkLeaving(name ident.Endpoint, now time.Time) {
+	t.mark(name, func(e *target) {
+		e.saidLeaving, e.saidAt = true, now
+	})
+}
+
+// MarkTold records the word of another instance that the endpoint is leaving.
+// It is ignored if it is about another address or incarnation.
+func (t *Table) MarkTold(told Endpoint, now time.Time) {
+	t.mark(told.Name, func(e *target) {
+		if e.endpoint.Address == told.Address && e.endpoint.Incarnation == told.Incarnation {
+			e.toldUntil = now.Add(tellFor)
+		}
+	})
+}
+
+// Heard returns the endpoints that said to this instance lately that they are
+// leaving, for the other instances. It does not pass on what others told.
+func (t *Table) Heard(now time.Time) []Endpoint {
+	var heard []Endpoint
+	t.services.Range(func(_ ident.Service, g *group) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, e := range g.targets {
+			if e.saidLeaving && now.Sub(e.saidAt) < shareFor {
+				heard = append(heard, e.endpoint)
+			}
+		}
+		return true
+	})
+	return heard
+}
+
+func (t *Table) mark(name ident.Endpoint, set func(e *target)) {
 	g, ok := t.names.Load(name)
 	if !ok {
 		return
@@ -127,7 +160,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e, ok := g.targets[name]; ok {
-		e.saidLeaving = true
+		set(e)
 	}
 }
 
@@ -143,7 +176,7 @@
 
 // Capacity returns the number of requests that the service can take at once.
 // An ejected endpoint counts as one, which is the request that tries it again.
-func (t *Table) Capacity(s ident.Service) int {
+func (t *Table) Capacity(s ident.Service, now time.Time) int {
 	g, ok := t.services.Load(s)
 	if !ok {
 		return 0
@@ -152,7 +185,7 @@
 	defer g.mu.Unlock()
 	sum := 0
 	for _, e := range g.targets {
-		if !e.leaving() {
+		if !e.leaving(now) {
 			sum += int(e.limit)
 		}
 	}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -59,7 +59,7 @@
 func (s *script) end(r Result, after time.Duration) {
 	s.t.Release(s.lease, r, s.now)
 	s.now = s.now.Add(after)
-	s.say("  capacity %d", s.t.Capacity("proofs"))
+	s.say("  capacity %d", s.t.Capacity("proofs", s.now))
 }
 
 // TestRegions guards against use of the billed link while the caller's own
@@ -104,6 +104,29 @@
 	golden.Assert(t, s.out.String(), "leaving.golden")
 }
 
+// TestTold guards against new work for an endpoint that said to another
+// instance that it is leaving, and against a late word that bars its successor.
+func TestTold(t *testing.T) {
+	a := endpoint("a", "coast", 1)
+	s, other := newScript(a), newScript(a)
+	other.t.MarkLeaving("a", other.now)
+	heard := other.t.Heard(other.now)
+	assert.Equal(t, len(heard), 1)
+	s.t.MarkTold(heard[0], s.now)
+	assert.Assert(t, errors.Is(s.pick(), ErrNoEndpoint))
+	assert.Equal(t, len(s.t.Heard(s.now)), 0)
+	assert.Equal(t, len(other.t.Heard(other.now.Add(shareFor))), 0)
+	a.Incarnation = "2"
+	s.t.Update([]Endpoint{a}, s.now)
+	s.t.MarkTold(heard[0], s.now)
+	assert.NilError(t, s.pick())
+	a.Incarnation = ""
+	s.t.Update([]Endpoint{a}, s.now)
+	s.t.MarkTold(heard[0], s.now)
+	s.now = s.now.Add(tellFor)
+	assert.NilError(t, s.pick())
+}
+
 // TestEjection guards against work for an endpoint whose connections fail, and
 // against an endpoint that never returns.
 func TestEjection(t *testing.T) {
@@ -144,7 +167,7 @@
 	s.say("answers")
 	for range 300 {
 		var open []Lease
-		for range s.t.Capacity("proofs") {
+		for range s.t.Capacity("proofs", s.now) {
 			l, err := s.t.Pick("proofs", "coast", nil, s.now)
 			assert.NilError(t, err)
 			open = append(open, l)
@@ -153,7 +176,7 @@
 			s.t.Release(l, Answered, s.now)
 		}
 	}
-	s.say("  capacity %d", s.t.Capacity("proofs"))
+	s.say("  capacity %d", s.t.Capacity("proofs", s.now))
 	golden.Assert(t, s.out.String(), "limit.golden")
 }
 
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -17,7 +17,12 @@
 		endpoint Endpoint
 		// saidLeaving is the endpoint's own word.
 		saidLeaving bool
-		inFlight    int
+		// saidAt is when it said so.
+		saidAt time.Time
+		// toldUntil is when the word of another instance that the endpoint is
+		// leaving ends.
+		toldUntil time.Time
+		inFlight  int
 		// limit is the number of requests that may be in flight, from 1 to
 		// the endpoint's slots.
 		limit        float64
@@ -45,6 +50,13 @@
 	// minLimit keeps one request in flight, without which an endpoint could
 	// never show that it has recovered.
 	minLimit = 1
+	// shareFor is the time for which an endpoint's word is passed on to other
+	// instances.
+	shareFor = 10 * time.Second
+	// tellFor is the time for which the word of another instance holds. By then
+	// the list shows it. A bound is needed because a late message could
+	// otherwise mark an endpoint that has restarted at the same address.
+	tellFor = 30 * time.Second
 	// startShare is the share of the slots that a new endpoint starts with.
 	// Several instances share the endpoint, and none knows of the others.
 	startShare = 0.25
@@ -67,12 +79,14 @@
 	return old
 }
 
-func (t *target) leaving() bool { return t.endpoint.Leaving || t.saidLeaving }
+func (t *target) leaving(now time.Time) bool {
+	return t.endpoint.Leaving || t.saidLeaving || now.Before(t.toldUntil)
+}
 
 func (t *target) ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
 
 func (t *target) canTake(except []ident.Endpoint, now time.Time) bool {
-	return !t.leaving() && !t.ejected(now) && t.inFlight < int(t.limit) &&
+	return !t.leaving(now) && !t.ejected(now) && t.inFlight < int(t.limit) &&
 		!slices.Contains(except, t.endpoint.Name)
 }
 
