Mark a leaving endpoint in each service that lists it

Cause: one process may answer for several services under one name, and the word that it is leaving reached only the service listed last. Ruled out: an index from names to lists of services, which has to be kept in step with the list for an event that is rare. Change: MarkLeaving and MarkTold go through all services. Conclusion: lint and tests of route with the race detector pass.

--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -153,7 +153,7 @@
 			c.run(30, 2*time.Minute)
 			advance(2 * time.Minute)
 			assert.Assert(t, c.done > 0)
-			t.Logf("seed %d/%d: %d done, %d refused, %d unknown, %d broken", seed, s, c.done, c.refused, c.unknown, len(w.breach))
+			t.Logf("seed %d/%d: %d done, %d refused, %d unknown, %d breaches", seed, s, c.done, c.refused, c.unknown, len(w.breach))
 			w.assertNoBreach(t)
 		})
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -44,8 +44,6 @@
 	Table struct {
 		settings Settings
 		services *shard.Map[ident.Service, *group]
-		// names finds the service of an endpoint for MarkLeaving.
-		names *shard.Map[ident.Endpoint, *group]
 	}
 
 	group struct {
@@ -90,7 +88,6 @@
 	return &Table{
 		settings: s,
 		services: shard.New[ident.Service, *group](tableParts),
-		names:    shard.New[ident.Endpoint, *group](tableParts),
 	}
 }
 
@@ -109,12 +106,7 @@
 	})
 	for s, endpoints := range byService {
 		g, _ := t.services.LoadOrStore(s, newGroup)
-		for _, gone := range g.update(endpoints, now) {
-			t.forget(gone, g)
-		}
-		for _, e := range endpoints {
-			t.names.Store(e.Name, g)
-		}
+		g.update(endpoints, now)
 	}
 }
 
@@ -152,16 +144,17 @@
 	return heard
 }
 
+// mark changes the endpoint in each service that lists it, because one process
+// may answer for several services.
 func (t *Table) mark(name ident.Endpoint, set func(e *target)) {
-	g, ok := t.names.Load(name)
-	if !ok {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, ok := g.targets[name]; ok {
-		set(e)
-	}
+	t.services.Range(func(_ ident.Service, g *group) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if e, ok := g.targets[name]; ok {
+			set(e)
+		}
+		return true
+	})
 }
 
 // Services returns the names of the services that have had an endpoint.
@@ -192,34 +185,20 @@
 	return sum
 }
 
-func (t *Table) forget(name ident.Endpoint, g *group) {
-	t.names.Update(name, func(present *group, ok bool) (*group, bool) {
-		return present, ok && present != g
-	})
-}
-
 func newGroup() *group {
 	return &group{targets: make(map[ident.Endpoint]*target)}
 }
 
-// update returns the names that are no longer listed.
-func (g *group) update(list []Endpoint, now time.Time) []ident.Endpoint {
+func (g *group) update(list []Endpoint, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	next := make(map[ident.Endpoint]*target, len(list))
 	for _, e := range list {
 		next[e.Name] = updated(g.targets[e.Name], e, now)
 	}
-	var gone []ident.Endpoint
-	for name := range g.targets {
-		if _, ok := next[name]; !ok {
-			gone = append(gone, name)
-		}
-	}
 	g.targets = next
 	g.arrange(list)
 	g.notify()
-	return gone
 }
 
 // arrange lists the targets by region in the order of the platform's list.
