Carry the asker and the holder of a claim between instances

Cause: Relay.Resolve takes the asker's name and may name another holder, and the branch did not build with the daemon. Ruled out: leaving the asker empty, because a caller's retry at a third instance is then answered unknown although nothing has run. Change: the field holder in ResolveResponse, the asker in the client, the server and the daemon. Conclusion: build and lint pass, and the tests of route, limit, claim and relay with the race detector.

--- a/internal/daemon/send.go
+++ b/internal/daemon/send.go
@@ -19,13 +19,16 @@
 // finder asks other instances for the outcome of requests. Its view is set
 // when the member service exists, which needs the relay itself.
 type finder struct {
+	self  ident.Instance
 	peers *peer.Client
 	view  *member.Service
 }
 
 var errUnknownInstance = errors.New("the instance is not known")
 
-func newFinder(p *peer.Client) *finder { return &finder{peers: p} }
+func newFinder(self member.Info, p *peer.Client) *finder {
+	return &finder{self: self.Instance, peers: p}
+}
 
 func (f *finder) resolve(
 	ctx context.Context, claimant ident.Instance, w ident.Workspace, id ident.Request,
@@ -34,7 +37,7 @@
 	if !ok {
 		return relay.Answer{}, fmt.Errorf("resolve %s at %s: %w", id, claimant, errUnknownInstance)
 	}
-	return f.peers.Resolve(ctx, p.Peer, w, id)
+	return f.peers.Resolve(ctx, p.Peer, f.self, w, id)
 }
 
 // send carries one attempt to an endpoint in the platform's protocol.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -80,13 +80,13 @@
 	return answer.Msg.GetReason(), nil
 }
 
-// Resolve asks the instance at the address for the outcome of a request that
-// it has claimed.
+// Resolve asks the instance at the address, in the name of the asker, for the
+// outcome of a request that it has claimed.
 func (c *Client) Resolve(
-	ctx context.Context, to netip.AddrPort, w ident.Workspace, id ident.Request,
+	ctx context.Context, to netip.AddrPort, asker ident.Instance, w ident.Workspace, id ident.Request,
 ) (relay.Answer, error) {
 	answer, err := c.client(to).Resolve(ctx, connect.NewRequest(&peerv1.ResolveRequest{
-		Workspace: string(w), Request: string(id),
+		Workspace: string(w), Request: string(id), Asker: string(asker),
 	}))
 	if err != nil {
 		return relay.Answer{}, fmt.Errorf("resolve %s at %v: %w", id, to, err)
--- a/internal/peer/form.go
+++ b/internal/peer/form.go
@@ -83,6 +83,7 @@
 		Body:        a.Body,
 		Reason:      string(a.Reason),
 		Detail:      a.Detail,
+		Holder:      string(a.Holder),
 	}
 }
 
@@ -93,6 +94,7 @@
 		Body:        f.GetBody(),
 		Reason:      relay.Reason(f.GetReason()),
 		Detail:      f.GetDetail(),
+		Holder:      ident.Instance(f.GetHolder()),
 	}
 	for _, o := range []relay.Outcome{relay.Done, relay.NotRun, relay.Unknown} {
 		if o.String() == f.GetOutcome() {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,7 +19,7 @@
 		Notify   func(d ident.Domain, w ident.Workspace, j ident.Job)
 		// Explain returns why a job of an owned shard waits, or "".
 		Explain func(d ident.Domain, w ident.Workspace, j ident.Job) string
-		Resolve func(ctx context.Context, w ident.Workspace, id ident.Request) relay.Answer
+		Resolve func(ctx context.Context, asker ident.Instance, w ident.Workspace, id ident.Request) relay.Answer
 	}
 
 	// handler adapts a Server to the generated service.
@@ -72,6 +72,6 @@
 	ctx context.Context, r *connect.Request[peerv1.ResolveRequest],
 ) (*connect.Response[peerv1.ResolveResponse], error) {
 	m := r.Msg
-	answer := h.server.Resolve(ctx, ident.Workspace(m.GetWorkspace()), ident.Request(m.GetRequest()))
+	answer := h.server.Resolve(ctx, ident.Instance(m.GetAsker()), ident.Workspace(m.GetWorkspace()), ident.Request(m.GetRequest()))
 	return connect.NewResponse(answerToForm(answer)), nil
 }
