Bound the use of a claim over all retries and handovers

Ruled out: a longer retention alone, because retries are not bounded in number; comparing the row's time with another instance's clock. Change: a claim may be used for 30 min; a handover carries the rest of that time, counted by the asker from before its call. The field remaining in ResolveResponse carries it; without it a handed claim is not used.

--- a/internal/peer/form.go
+++ b/internal/peer/form.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/member"
@@ -84,6 +85,7 @@
 		Reason:      string(a.Reason),
 		Detail:      a.Detail,
 		Holder:      string(a.Holder),
+		Remaining:   a.Remaining.Nanoseconds(),
 	}
 }
 
@@ -95,6 +97,7 @@
 		Reason:      relay.Reason(f.GetReason()),
 		Detail:      f.GetDetail(),
 		Holder:      ident.Instance(f.GetHolder()),
+		Remaining:   time.Duration(f.GetRemaining()),
 	}
 	for _, o := range []relay.Outcome{relay.Done, relay.NotRun, relay.Unknown} {
 		if o.String() == f.GetOutcome() {
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -45,8 +45,9 @@
 // is committed again with the same nonce before it is used. Another instance
 // asks only after it has read the row, which shows that the claim exists.
 //
-// The memory must be shorter than the retention of claims, and deadlines are
-// bounded by MaxDeadline, so that a claim never expires while it is in use.
+// A claim may be used for ClaimLife, however often the caller tries again and
+// the claim is handed over. After that, and MaxDeadline for the last attempt,
+// its row may be deleted without the risk of a second run.
 //
 // # Retries
 //
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -45,6 +45,9 @@
 		// holder is the instance that the right was handed to. It is empty if
 		// it was not handed over, or to an instance that did not give its name.
 		holder ident.Instance
+		// until is when the claim may no longer be used, because its row may
+		// be deleted some time later.
+		until time.Time
 	}
 )
 
@@ -147,6 +150,10 @@
 			return present, ok
 		}
 		f.stage = p.lastStage(ans)
+		if (f.stage == held || f.stage == givenUp) && f.expires.Before(f.claim.until) {
+			// Other instances may ask for as long as the claim may be used.
+			f.expires = f.claim.until
+		}
 		kept = f.stage != flying
 		return f, kept
 	})
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -43,6 +43,9 @@
 		// Holder is set in answers of Resolve with the reason ReasonGivenUp:
 		// the instance to ask instead.
 		Holder ident.Instance
+		// Remaining is set in the answer NotRun of Resolve: the time for which
+		// the claim that is handed over may be used.
+		Remaining time.Duration
 	}
 
 	// Attempt is one try to have an endpoint run a request.
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -151,7 +151,13 @@
 // request gives its place in the queue back while it waits for the store, so
 // that a slow store does not keep idempotent requests from the endpoints.
 func (r *Relay) claim(ctx context.Context, p *passage) error {
-	if !p.req.NonIdempotent || p.claim.sure {
+	if !p.req.NonIdempotent {
+		return nil
+	}
+	if err := p.startClaim(time.Now(), r.settings.ClaimLife); err != nil {
+		return err
+	}
+	if p.claim.sure {
 		return nil
 	}
 	p.leaveQueue()
@@ -166,6 +172,19 @@
 	return r.admit(ctx, p)
 }
 
+// startClaim sets the end of a new claim, and gives up one that is too old to
+// be used.
+func (p *passage) startClaim(now time.Time, life time.Duration) error {
+	if p.claim.until.IsZero() {
+		p.claim.until = now.Add(life)
+	}
+	if now.Before(p.claim.until) {
+		return nil
+	}
+	p.claim = heldClaim{}
+	return refuse(Unknown, ReasonForgotten, "the claim is too old to be used")
+}
+
 func (r *Relay) take(ctx context.Context, p *passage) error {
 	if p.claim.holder != "" {
 		return r.ask(ctx, p, p.claim.holder)
@@ -192,13 +211,15 @@
 // one that the claim was handed to.
 func (r *Relay) ask(ctx context.Context, p *passage, holder ident.Instance) error {
 	for range maxHandovers {
+		asked := time.Now()
 		ans, err := r.calls.Resolve(ctx, holder, p.req.Workspace, p.req.ID)
 		switch {
 		case err != nil:
 			return refuse(Unknown, ReasonClaimantGone, err.Error())
 		case ans.Outcome == NotRun:
-			p.claim = heldClaim{nonce: p.claim.nonce, sure: true}
-			return nil
+			// The time counts from before the call, which is the safe side.
+			p.claim = heldClaim{nonce: p.claim.nonce, sure: true, until: asked.Add(ans.Remaining)}
+			return p.startClaim(time.Now(), 0)
 		case ans.Holder == "" || ans.Holder == r.settings.Instance:
 			// An answer that names this instance means that the handover to
 			// it was lost on the way.
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -150,6 +150,25 @@
 	})
 }
 
+// TestClaimLife guards against a claim that is used after its row may have been
+// deleted, when the caller tries again for a long time at several instances.
+func TestClaimLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2, 2, nil)
+		for i := range 4 {
+			w.scriptAll(refuses, 4)
+			instance := ident.Instance(fmt.Sprint("entry-", 1+i%2))
+			assert.Equal(t, w.submit(instance, request("once")).Outcome, NotRun)
+			advance(9 * time.Minute)
+		}
+		w.heal()
+		for i := range w.relays {
+			assert.Equal(t, w.submit(i, request("once")).Outcome, Unknown)
+		}
+		assert.Equal(t, w.runs[keyOf("foundry-a", "once")], 0)
+	})
+}
+
 // TestCallerGone guards against work for callers that have gone, and against
 // an answer of a non-idempotent request that is lost with its first caller.
 func TestCallerGone(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,10 @@
 		// Memory is the time for which answers of non-idempotent requests are
 		// remembered. It must be far below the retention of claims.
 		Memory time.Duration
+		// ClaimLife is the time for which a claim may be used, however often it
+		// is handed over. With MaxDeadline added it must be below the retention
+		// of claims: the row may be deleted then and claimed again.
+		ClaimLife time.Duration
 		// MemoryCount and MemoryBytes bound the remembered answers.
 		MemoryCount int
 		MemoryBytes shape.Bytes
@@ -103,6 +107,7 @@
 		MaxDeadline:    10 * time.Minute,
 		DefaultTimeout: 30 * time.Second,
 		Memory:         10 * time.Minute,
+		ClaimLife:      30 * time.Minute,
 		MemoryCount:    20_000,
 		MemoryBytes:    32 * shape.MiB,
 		SlowAfter:      time.Second,
--- a/internal/relay/resolve.go
+++ b/internal/relay/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/baobabquay/baobabquay/internal/ident"
 )
@@ -27,6 +28,7 @@
 
 // known returns the answer to a Resolve, or the flight to wait for.
 func (r *Relay) known(asker ident.Instance, ws ident.Workspace, id ident.Request) (f *flight, ans Answer) {
+	now := time.Now()
 	r.flights.Update(keyOf(ws, id), func(old *flight, ok bool) (*flight, bool) {
 		switch {
 		case !ok:
@@ -38,10 +40,15 @@
 			ans = old.answer
 		case old.stage == givenUp:
 			ans = Answer{Reason: ReasonGivenUp, Detail: "another instance may run the request", Holder: old.claim.holder}
-		case old.stage == held:
+		case old.stage == held && now.Before(old.claim.until):
+			ans = Answer{
+				Outcome: NotRun, Reason: old.answer.Reason, Detail: "the claim is given up",
+				Remaining: old.claim.until.Sub(now),
+			}
 			old.stage = givenUp
-			old.claim = heldClaim{nonce: old.claim.nonce, holder: asker}
-			ans = Answer{Outcome: NotRun, Reason: old.answer.Reason, Detail: "the claim is given up"}
+			old.claim.sure, old.claim.maybe, old.claim.holder = false, false, asker
+		case old.stage == held:
+			ans = Answer{Reason: ReasonForgotten, Detail: "the claim is too old to be used"}
 		}
 		return old, true
 	})
