--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -29,7 +29,8 @@
 		ContentType string
 	}
 
-	// Answer is what the caller gets.
+	// Answer is what the caller gets. Its body is shared with other callers and
+	// must not be changed.
 	Answer struct {
 		Outcome     Outcome
 		Status      int
@@ -39,6 +40,12 @@
 		Detail      string
 		// RetryAfter is a hint for a request that was not run, or zero.
 		RetryAfter time.Duration
+		// Holder is set in answers of Resolve with the reason ReasonGivenUp:
+		// the instance to ask instead.
+		Holder ident.Instance
+		// Remaining is set in the answer NotRun of Resolve: the time for which
+		// the claim that is handed over may be used.
+		Remaining time.Duration
 	}
 
 	// Attempt is one try to have an endpoint run a request.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -44,8 +44,6 @@
 	Table struct {
 		settings Settings
 		services *shard.Map[ident.Service, *group]
-		// names finds the service of an endpoint for MarkLeaving.
-		names *shard.Map[ident.Endpoint, *group]
 	}
 
 	group struct {
@@ -90,7 +88,6 @@
 	return &Table{
 		settings: s,
 		services: shard.New[ident.Service, *group](tableParts),
-		names:    shard.New[ident.Endpoint, *group](tableParts),
 	}
 }
 
@@ -109,26 +106,55 @@
 	})
 	for s, endpoints := range byService {
 		g, _ := t.services.LoadOrStore(s, newGroup)
-		for _, gone := range g.update(endpoints, now) {
-			t.forget(gone, g)
-		}
-		for _, e := range endpoints {
-			t.names.Store(e.Name, g)
-		}
+		g.update(endpoints, now)
 	}
 }
 
 // MarkLeaving records the endpoint's own word that it is leaving.
-func (t *Table) MarkLeaving(name ident.Endpoint, _ time.Time) {
-	g, ok := t.names.Load(name)
-	if !ok {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, ok := g.targets[name]; ok {
-		e.saidLeaving = true
-	}
+func (t *Table) MarkLeaving(name ident.Endpoint, now time.Time) {
+	t.mark(name, func(e *target) {
+		e.saidLeaving, e.saidAt = true, now
+	})
+}
+
+// MarkTold records the word of another instance that the endpoint is leaving.
+// It is ignored if it is about another address or incarnation.
+func (t *Table) MarkTold(told Endpoint, now time.Time) {
+	t.mark(told.Name, func(e *target) {
+		if e.endpoint.Address == told.Address && e.endpoint.Incarnation == told.Incarnation {
+			e.toldUntil = now.Add(tellFor)
+		}
+	})
+}
+
+// Heard returns the endpoints that said to this instance lately that they are
+// leaving, for the other instances. It does not pass on what others told.
+func (t *Table) Heard(now time.Time) []Endpoint {
+	var heard []Endpoint
+	t.services.Range(func(_ ident.Service, g *group) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, e := range g.targets {
+			if e.saidLeaving && now.Sub(e.saidAt) < shareFor {
+				heard = append(heard, e.endpoint)
+			}
+		}
+		return true
+	})
+	return heard
+}
+
+// mark changes the endpoint in each service that lists it, because one process
+// may answer for several services.
+func (t *Table) mark(name ident.Endpoint, set func(e *target)) {
+	t.services.Range(func(_ ident.Service, g *group) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if e, ok := g.targets[name]; ok {
+			set(e)
+		}
+		return true
+	})
 }
 
 // Services returns the names of the services that have had an endpoint.
@@ -143,7 +169,7 @@
 
 // Capacity returns the number of requests that the service can take at once.
 // An ejected endpoint counts as one, which is the request that tries it again.
-func (t *Table) Capacity(s ident.Service) int {
+func (t *Table) Capacity(s ident.Service, now time.Time) int {
 	g, ok := t.services.Load(s)
 	if !ok {
 		return 0
@@ -152,41 +178,27 @@
 	defer g.mu.Unlock()
 	sum := 0
 	for _, e := range g.targets {
-		if !e.leaving() {
+		if !e.leaving(now) {
 			sum += int(e.limit)
 		}
 	}
 	return sum
 }
 
-func (t *Table) forget(name ident.Endpoint, g *group) {
-	t.names.Update(name, func(present *group, ok bool) (*group, bool) {
-		return present, ok && present != g
-	})
-}
-
 func newGroup() *group {
 	return &group{targets: make(map[ident.Endpoint]*target)}
 }
 
-// update returns the names that are no longer listed.
-func (g *group) update(list []Endpoint, now time.Time) []ident.Endpoint {
+func (g *group) update(list []Endpoint, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	next := make(map[ident.Endpoint]*target, len(list))
 	for _, e := range list {
 		next[e.Name] = updated(g.targets[e.Name], e, now)
 	}
-	var gone []ident.Endpoint
-	for name := range g.targets {
-		if _, ok := next[name]; !ok {
-			gone = append(gone, name)
-		}
-	}
 	g.targets = next
 	g.arrange(list)
 	g.notify()
-	return gone
 }
 
 // arrange lists the targets by region in the order of the platform's list.
