Add the guarantee check, reclaim and the policy measurement

Cause: the first policy knew no guarantees, and nothing measured it. Ruled out: a count of guaranteed accelerators for each workspace, because it does not show that a rack-sized gang still fits; an endless search, because a decision has to end (the bound answers 'does not fit').

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED     := $(shell sed -n 's/^test: *\([A-Za-z0-9_\/]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP          := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: help build test lint format proto demo
+.PHONY: help build test lint format proto demo bench
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -20,6 +20,9 @@
 	@sed -n 's/^test: */known red, passed over: /p' KNOWN-RED.txt
 	$(GO) test -race -count=1 $(SKIP) ./...
 
+bench: ## measure the scheduling policy against the baselines, in virtual time
+	$(GO) run ./cmd/bench
+
 lint: $(LINT) ## run the formatter, go vet and the linter
 	@out=$$($(LINT) fmt --diff); test -z "$$out" || { echo "$$out"; echo "run make format"; exit 1; }
 	$(GO) vet ./...
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -1,9 +1,7 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/fleet"
@@ -11,62 +9,118 @@
 	"github.com/baobabquay/baobabquay/internal/jobs"
 )
 
+// maxPlaces bounds the places that are compared for one job.
+const maxPlaces = 24
+
 // Default returns the policy that the shard owners use.
 func Default() Policy {
 	return Policy{Name: "default", Decide: decide}
 }
 
-// decide considers the waiting jobs in order and places each one that fits.
-func decide(_ time.Time, v *View) []Action {
+// decide considers the waiting jobs in order. A job starts where it fits, takes
+// lent capacity back, holds a place, or waits.
+func decide(now time.Time, v *View) []Action {
 	if !v.InService {
-		return waitAll(v.Waiting, "the failure domain is out of service")
+		return leave(v)
+	}
+	p := newPlan(now, v)
+	for _, j := range p.ordered(v.Waiting) {
+		p.consider(j)
 	}
-	free := slices.Clone(v.Workers)
-	var actions []Action
-	for _, j := range ordered(v.Waiting) {
-		slots, ok := fleet.Fit(free, j.Spec.Shape, avoided(j))
-		if !ok {
-			actions = append(actions, Action{Kind: Wait, Job: j, Reason: "no free place for " + j.Spec.Shape.String()})
-			continue
+	return p.actions
+}
+
+func (p *plan) consider(j jobs.Job) {
+	if !fleet.CanEver(p.view.Workers, j.Spec.Shape) {
+		p.elsewhere(j)
+		return
+	}
+	if j.Spec.Guaranteed {
+		if i, ok := p.book.Match(j.Workspace, j.Spec.Shape); ok && p.claim(j, i) {
+			return
 		}
-		take(free, j, slots)
-		actions = append(actions, Action{Kind: Place, Job: j, Slots: slots, Reason: "fits"})
 	}
-	return actions
+	p.lend(j)
 }
 
-// ordered returns the jobs by class, then by the time of submission.
-func ordered(waiting []jobs.Job) []jobs.Job {
-	sorted := slices.Clone(waiting)
-	slices.SortFunc(sorted, func(a, b jobs.Job) int {
-		return cmp.Or(
-			cmp.Compare(a.Spec.Class, b.Spec.Class),
-			a.Submitted.Compare(b.Submitted),
-			strings.Compare(string(a.Workspace), string(b.Workspace)),
-			strings.Compare(string(a.ID), string(b.ID)),
-		)
-	})
-	return sorted
+// elsewhere moves a job that never fits here to a domain where it does, and
+// refuses it if there is none.
+func (p *plan) elsewhere(j jobs.Job) {
+	if to, ok := target(p.peers, j); ok {
+		p.add(Action{Kind: Move, Job: j, To: to, Reason: "never fits in " + string(p.view.Domain)})
+		return
+	}
+	p.add(Action{Kind: Refuse, Job: j, Reason: "no domain can hold " + j.Spec.Shape.String() + " even when it is empty"})
 }
 
-// avoided keeps a job away from workers on which it has failed, so that a bad
-// worker and a bad job can be told apart.
-func avoided(j jobs.Job) func(ident.Worker) bool {
-	return func(w ident.Worker) bool { return slices.Contains(j.FailedOn, w) }
+// claim serves a job inside a guarantee: on free workers, else on workers that
+// are being reclaimed, else on workers that lent work must give back. It
+// reports false if the job cannot have a place that keeps the other claims.
+func (p *plan) claim(j jobs.Job, i int) bool {
+	s := j.Spec.Shape
+	keeps := func(slots []jobs.Slot) bool { return p.book.Keeps(i, s, slots) }
+	if slots, ok := p.first(p.free, j, keeps); ok {
+		p.book.Take(i, s, slots)
+		p.start(j, slots, "inside a guarantee")
+		return true
+	}
+	if slots, ok := p.first(p.soon, j, keeps); ok {
+		p.book.Take(i, s, slots)
+		p.hold(j, slots)
+		p.wait(j, "lent capacity is being reclaimed")
+		return true
+	}
+	any := func(*lent) bool { return true }
+	c, ok := p.cheapest(j, any, keeps)
+	if !ok {
+		c, ok = p.packed(j, i, any)
+	}
+	if !ok {
+		return false
+	}
+	p.book.Take(i, s, c.slots)
+	p.reclaim(j, c)
+	return true
+}
+
+// lend serves a job outside guarantees.
+func (p *plan) lend(j jobs.Job) {
+	if slots, ok := p.first(p.free, j, nil); ok {
+		p.start(j, slots, "on lent capacity")
+		return
+	}
+	gives := p.gives(j)
+	if gives == nil {
+		p.stay(j, "no free place for "+j.Spec.Shape.String())
+		return
+	}
+	if slots, ok := p.first(p.soon, j, nil); ok {
+		p.hold(j, slots)
+		p.wait(j, "capacity is being reclaimed")
+		return
+	}
+	if c, ok := p.cheapest(j, gives, nil); ok {
+		p.reclaim(j, c)
+		return
+	}
+	p.stay(j, "no free place for "+j.Spec.Shape.String())
 }
 
-// take subtracts the slots from the free resources of the workers.
-func take(workers []fleet.Worker, j jobs.Job, slots []jobs.Slot) {
-	for _, s := range slots {
-		i := slices.IndexFunc(workers, func(w fleet.Worker) bool { return w.Spec.ID == s.Worker })
-		workers[i].Free = workers[i].Free.Sub(j.Spec.Shape.Member.Times(s.Members))
+// first returns the best place on the workers for which keeps is true.
+func (p *plan) first(workers []fleet.Worker, j jobs.Job, keeps func([]jobs.Slot) bool) ([]jobs.Slot, bool) {
+	for _, slots := range fleet.Places(workers, j.Spec.Shape, maxPlaces, avoided(j)) {
+		if keeps == nil || keeps(slots) {
+			return slots, true
+		}
 	}
+	return nil, false
 }
 
-func waitAll(waiting []jobs.Job, reason string) []Action {
-	var actions []Action
-	for _, j := range waiting {
-		actions = append(actions, Action{Kind: Wait, Job: j, Reason: reason})
+// avoided keeps a job away from workers on which it has failed, so that a bad
+// worker and a bad job can be told apart.
+func avoided(j jobs.Job) func(ident.Worker) bool {
+	if len(j.FailedOn) == 0 {
+		return nil
 	}
-	return actions
+	return func(w ident.Worker) bool { return slices.Contains(j.FailedOn, w) }
 }
--- a/internal/sched/view.go
+++ b/internal/sched/view.go
@@ -7,7 +7,8 @@
 	"github.com/baobabquay/baobabquay/internal/fleet"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
-	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/quota"
+	"github.com/baobabquay/baobabquay/internal/worker"
 )
 
 type (
@@ -23,6 +24,31 @@
 		Gangs []Gang
 		// Guarantees are the shapes that have their home in this domain.
 		Guarantees []Home
+		// Peers are the other domains. Without them no job moves.
+		Peers []Peer
+		// Past are jobs that ended lately, of any domain. They correct the
+		// run times that callers declare. It may be empty.
+		Past []Past
+	}
+
+	// Peer is what is known of another domain. It may be a few seconds old.
+	Peer struct {
+		Domain    ident.Domain
+		InService bool
+		// Workers are those of the domain, busy or not.
+		Workers []worker.Spec
+		// Free and Waiting are the accelerators that are free there and those
+		// that the waiting jobs there ask for.
+		Free    int
+		Waiting int
+	}
+
+	// Past is the declared and the actual run time of a job that ended.
+	Past struct {
+		Workspace ident.Workspace
+		Class     jobs.Class
+		Declared  time.Duration
+		Actual    time.Duration
 	}
 
 	// Gang is a job that holds workers.
@@ -36,12 +62,7 @@
 	}
 
 	// Home is a guaranteed shape that must fit in this domain Count times.
-	Home struct {
-		Workspace ident.Workspace
-		Name      string
-		Shape     shape.Shape
-		Count     int
-	}
+	Home = quota.Claim
 
 	// Kind is the kind of an action.
 	Kind int
@@ -52,6 +73,8 @@
 		Job    jobs.Job
 		Slots  []jobs.Slot
 		Reason string
+		// To is the domain that a job moves to.
+		To ident.Domain
 	}
 
 	// Policy is a way to decide. Its fields are the seams by which policies
@@ -73,6 +96,8 @@
 	Reclaim
 	// Refuse ends a job that can never run.
 	Refuse
+	// Move hands a waiting job to the domain To.
+	Move
 )
 
 // String returns the name used in logs.
@@ -86,6 +111,8 @@
 		return "reclaim"
 	case Refuse:
 		return "refuse"
+	case Move:
+		return "move"
 	}
 	return fmt.Sprintf("kind(%d)", int(k))
 }
