Act on moves, peers and past run times that the policy knows

Cause: the policy moves jobs to other domains and learns from run times, but the owner gave it neither peers nor past jobs. Ruled out: ending an accepted job that the policy refuses. Workers that are missing for an hour would end jobs that fitted when they were accepted; such a job waits with the reason instead. Change: Deps.Peers, the Move action, the last 200 run times, and homes of guarantees computed with each accepted configuration.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -20,6 +20,7 @@
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peer"
+	"github.com/baobabquay/baobabquay/internal/quota"
 	"github.com/baobabquay/baobabquay/internal/relay"
 	"github.com/baobabquay/baobabquay/internal/roster"
 	"github.com/baobabquay/baobabquay/internal/site"
@@ -94,9 +95,11 @@
 		Admin: entry.Admin{
 			Render: inifmt.Write,
 			Parse:  parseConfig,
-			Apply:  k.Apply,
+			Apply: func(ctx context.Context, base int64, c *config.Config) (*config.Config, error) {
+				return k.Apply(ctx, base, quota.AssignHomes(c, ro.AllWorkers()))
+			},
 			SetDomain: func(ctx context.Context, d ident.Domain, in bool) (*config.Config, error) {
-				return setDomain(ctx, k, d, in)
+				return setDomain(ctx, k, ro, d, in)
 			},
 			Status:  func() wire.Status { return siteStatus(self, k, st, m, sh, ro) },
 			Explain: func(j jobs.Job) string { return explainJob(sh, j) },
--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -100,15 +100,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	shard := owner.NewShard(owner.Deps{
 		Domain: d.Name, Table: s.deps.table, Objects: s.deps.objects,
-		Lease:     lease.NewKeeper(s.deps.table, d.Name, s.deps.self.Instance),
-		Rank:      func(now time.Time) int { return s.deps.view.Rank(d.Name, d.Region, now) },
-		Workers:   func() []worker.Spec { return s.deps.roster.Workers(d.Name) },
-		Agent:     s.deps.agent,
-		Read:      s.deps.site.Read,
-		Policy:    sched.Default(),
-		Elsewhere: func(j jobs.Job) (ident.Domain, error) { return s.elsewhere(j) },
-		Notify:    s.notify,
-		Log:       s.deps.log,
+		Lease:   lease.NewKeeper(s.deps.table, d.Name, s.deps.self.Instance),
+		Rank:    func(now time.Time) int { return s.deps.view.Rank(d.Name, d.Region, now) },
+		Workers: func() []worker.Spec { return s.deps.roster.Workers(d.Name) },
+		Agent:   s.deps.agent,
+		Read:    s.deps.site.Read,
+		Policy:  sched.Default(),
+		Peers:   func() []sched.Peer { return s.peersOf(d.Name) },
+		Notify:  s.notify,
+		Log:     s.deps.log,
 	})
 	r := &runningShard{shard: shard, cancel: cancel, ended: make(chan struct{})}
 	go func() {
@@ -209,8 +209,21 @@
 	return n
 }
 
-func (s *shards) elsewhere(j jobs.Job) (ident.Domain, error) {
-	return sched.Assign(j.Spec, s.candidates(j.Workspace, j.Spec))
+// peersOf returns what is known of the domains other than d.
+func (s *shards) peersOf(d ident.Domain) []sched.Peer {
+	var peers []sched.Peer
+	for _, other := range s.deps.site.Current().Domains {
+		if other.Name == d {
+			continue
+		}
+		// Without an owner nobody starts work there, so nothing counts as free.
+		_, sum, _ := s.summary(other.Name)
+		peers = append(peers, sched.Peer{
+			Domain: other.Name, InService: other.InService, Workers: s.deps.roster.Workers(other.Name),
+			Free: sum.FreeAccelerators, Waiting: sum.WaitingAccelerators,
+		})
+	}
+	return peers
 }
 
 // notify tells the owner of a shard that its queue changed.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -9,6 +9,7 @@
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/member"
+	"github.com/baobabquay/baobabquay/internal/quota"
 	"github.com/baobabquay/baobabquay/internal/roster"
 	"github.com/baobabquay/baobabquay/internal/site"
 	"github.com/baobabquay/baobabquay/pkg/wire"
@@ -114,7 +115,9 @@
 // setDomain takes a failure domain out of service or brings it back. An
 // operator names a state and not a change, so a conflict with another change
 // is tried again on the new version.
-func setDomain(ctx context.Context, k *site.Keeper, d ident.Domain, inService bool) (*config.Config, error) {
+func setDomain(
+	ctx context.Context, k *site.Keeper, ro *roster.Roster, d ident.Domain, inService bool,
+) (*config.Config, error) {
 	for {
 		c, err := k.Read(ctx)
 		if err != nil {
@@ -124,7 +127,7 @@
 		if !ok {
 			return nil, errNoDomain
 		}
-		accepted, err := k.Apply(ctx, c.Version, next)
+		accepted, err := k.Apply(ctx, c.Version, quota.AssignHomes(next, ro.AllWorkers()))
 		if !isConflict(err) {
 			return accepted, err
 		}
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -53,10 +53,12 @@
 		s.place(ctx, r, h, a)
 	case sched.Reclaim:
 		s.reclaim(ctx, r, h, a)
-	case sched.Refuse:
-		s.end(ctx, r, h, jobs.Failed, a.Reason, nil)
-	case sched.Wait:
-		s.wait(ctx, r, h, a.Reason)
+	case sched.Move:
+		s.move(ctx, r, h, a)
+	case sched.Refuse, sched.Wait:
+		// A job that was accepted fitted then. Workers that are missing now,
+		// or a list that is not complete, must not end it.
+		s.wait(h, a.Reason)
 	}
 }
 
@@ -203,14 +205,8 @@
 	calls.Wait()
 }
 
-// wait remembers why a job waits and logs it when the reason changes. A job
-// that waits in a domain that is out of service moves to another one.
-func (s *Shard) wait(ctx context.Context, r *round, h held, reason string) {
-	if d, ok := r.config.Domain(s.deps.Domain); !ok || !d.InService {
-		if s.move(ctx, r, h) {
-			return
-		}
-	}
+// wait remembers why a job waits and logs it when the reason changes.
+func (s *Shard) wait(h held, reason string) {
 	k := keyOf(h.job)
 	s.mu.Lock()
 	changed := s.waits[k] != reason
@@ -222,18 +218,14 @@
 	}
 }
 
-func (s *Shard) move(ctx context.Context, r *round, h held) bool {
-	to, err := s.deps.Elsewhere(h.job)
-	if err != nil || to == s.deps.Domain {
-		return false
-	}
+// move gives a waiting job to another shard.
+func (s *Shard) move(ctx context.Context, r *round, h held, a sched.Action) {
 	next := h.job
-	next.Domain = to
-	if s.commit(ctx, r, h, next) != nil {
-		return false
+	next.Domain = a.To
+	if next.State != jobs.Pending || s.commit(ctx, r, h, next) != nil {
+		return
 	}
 	s.deps.Log.Write(event.JobMoved, "workspace", next.Workspace, "job", next.ID,
-		"domain", s.deps.Domain, "to", to)
-	s.deps.Notify(to, next.Workspace, next.ID)
-	return true
+		"domain", s.deps.Domain, "to", a.To, "reason", a.Reason)
+	s.deps.Notify(a.To, next.Workspace, next.ID)
 }
--- a/internal/owner/decide.go
+++ b/internal/owner/decide.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
-	"github.com/baobabquay/baobabquay/internal/config"
 	"github.com/baobabquay/baobabquay/internal/fleet"
-	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/quota"
 	"github.com/baobabquay/baobabquay/internal/sched"
 )
 
@@ -15,6 +16,7 @@
 	v := s.view(r)
 	if len(v.Waiting) > 0 || !v.InService {
 		s.addGangs(r, v)
+		v.Peers, v.Past = s.deps.Peers(), s.pastRuns()
 		sched.SortView(v)
 		r.actions = s.deps.Policy.Decide(r.now, v)
 	}
@@ -28,7 +30,7 @@
 	v := &sched.View{
 		Domain:     s.deps.Domain,
 		InService:  known && domain.InService,
-		Guarantees: homesIn(r.config, s.deps.Domain),
+		Guarantees: quota.HomesIn(r.config, s.deps.Domain),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,23 +69,20 @@
 	return w
 }
 
-// homesIn returns the guaranteed shapes that have their home in the domain.
-func homesIn(c *config.Config, d ident.Domain) []sched.Home {
-	var homes []sched.Home
-	for _, w := range c.Workspaces {
-		for _, g := range w.Guarantees {
-			n := 0
-			for _, home := range g.Homes {
-				if home == d {
-					n++
-				}
-			}
-			if n > 0 {
-				homes = append(homes, sched.Home{Workspace: w.Name, Name: g.Name, Shape: g.Shape, Count: n})
-			}
-		}
-	}
-	return homes
+func (s *Shard) pastRuns() []sched.Past {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.past)
+}
+
+// learn keeps the run time of a job that is done.
+func (s *Shard) learn(j jobs.Job, actual time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = append(s.past, sched.Past{
+		Workspace: j.Workspace, Class: j.Spec.Class, Declared: j.Spec.RunTime, Actual: actual,
+	})
+	s.past = s.past[max(len(s.past)-pastKept, 0):]
 }
 
 func (s *Shard) summarise(v *sched.View) {
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -61,6 +61,7 @@
 	case gang.Confirm:
 		s.confirm(ctx, r, h)
 	case gang.Finish:
+		s.learn(h.job, v.Progress)
 		s.end(ctx, r, h, jobs.Done, "", v.Result)
 	case gang.Cancel:
 		if s.stopAll(ctx, r, h.job) {
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -97,12 +97,12 @@
 			}
 			return specs
 		},
-		Agent:     func(s worker.Spec) worker.Agent { return g.worker(s.ID).Agent() },
-		Read:      g.site.Read,
-		Policy:    sched.Default(),
-		Elsewhere: func(jobs.Job) (ident.Domain, error) { return "", sched.ErrNoDomain },
-		Notify:    func(ident.Domain, ident.Workspace, ident.Job) {},
-		Log:       event.Discard(),
+		Agent:  func(s worker.Spec) worker.Agent { return g.worker(s.ID).Agent() },
+		Read:   g.site.Read,
+		Policy: sched.Default(),
+		Peers:  func() []sched.Peer { return nil },
+		Notify: func(ident.Domain, ident.Workspace, ident.Job) {},
+		Log:    event.Discard(),
 	})
 	go shard.Run(ctx)
 	// Callers act between two rounds, so that no two events share an instant.
--- a/internal/owner/scale_test.go
+++ b/internal/owner/scale_test.go
@@ -124,15 +124,15 @@
 	}}
 	s.shard = owner.NewShard(owner.Deps{
 		Domain: domain, Table: table.Store(), Objects: fakes.NewObjects().Store(),
-		Lease:     lease.NewKeeper(table.Store(), domain, "i1"),
-		Rank:      func(time.Time) int { return 0 },
-		Workers:   func() []worker.Spec { return specs },
-		Agent:     func(w worker.Spec) worker.Agent { return plat.Agent(w.Address, client) },
-		Read:      keeper.Read,
-		Policy:    sched.Default(),
-		Elsewhere: func(jobs.Job) (ident.Domain, error) { return "", sched.ErrNoDomain },
-		Notify:    func(ident.Domain, ident.Workspace, ident.Job) {},
-		Log:       event.Discard(),
+		Lease:   lease.NewKeeper(table.Store(), domain, "i1"),
+		Rank:    func(time.Time) int { return 0 },
+		Workers: func() []worker.Spec { return specs },
+		Agent:   func(w worker.Spec) worker.Agent { return plat.Agent(w.Address, client) },
+		Read:    keeper.Read,
+		Policy:  sched.Default(),
+		Peers:   func() []sched.Peer { return nil },
+		Notify:  func(ident.Domain, ident.Workspace, ident.Job) {},
+		Log:     event.Discard(),
 	})
 	return s
 }
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -34,8 +34,8 @@
 		// Read returns the committed configuration, read from the store.
 		Read   func(ctx context.Context) (*config.Config, error)
 		Policy sched.Policy
-		// Elsewhere returns another domain that can take the job.
-		Elsewhere func(j jobs.Job) (ident.Domain, error)
+		// Peers returns what is known of the other domains.
+		Peers func() []sched.Peer
 		// Notify tells the owner of a shard that its queue changed.
 		Notify func(d ident.Domain, w ident.Workspace, j ident.Job)
 		Log    event.Log
@@ -65,6 +65,8 @@
 		// complete with all workers answering.
 		complete map[worker.Attempt]bool
 		judged   time.Time
+		// past are the run times of the jobs that ended last, oldest first.
+		past []sched.Past
 	}
 
 	// tracked is a worker with its last report.
@@ -138,6 +140,8 @@
 	storeTimeout = 2 * time.Second
 	// actLimit is the number of actions of one round that run at once.
 	actLimit = 16
+	// pastKept is the number of ended jobs from which run times are learnt.
+	pastKept = 200
 	// outrankedFor is the time for which another instance must be preferred
 	// before a shard is handed over, so that a view that changes back and
 	// forth moves nothing.
@@ -245,7 +249,7 @@
 	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
 	s.ready = false
 	s.outrank = time.Time{}
-	s.complete, s.judged = nil, time.Time{}
+	s.complete, s.judged, s.past = nil, time.Time{}, nil
 }
 
 // noteStore logs when the store stops and starts answering.
