Tell other instances of leaving endpoints and never deny an earlier run

Cause: an endpoint's word that it leaves reached one instance only; a retry of a non-idempotent request at another instance was answered notRun while the store was down, although the first submission may have run. Ruled out: answering unknown to every non-idempotent request without the store; a first submission was provably not run and may be tried elsewhere. Change: exchanges carry leaving endpoints; the caller marks a repeated identifier with Baobabquay-Resubmitted, and then only a claim of its own lets an instance say notRun; old claims are swept hourly by one instance. Conclusion: TestResubmitted fails without the rule and passes with it.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/baobabquay/baobabquay/internal/claim"
 	"github.com/baobabquay/baobabquay/internal/config"
 	"github.com/baobabquay/baobabquay/internal/entry"
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -24,6 +25,7 @@
 	"github.com/baobabquay/baobabquay/internal/relay"
 	"github.com/baobabquay/baobabquay/internal/roster"
 	"github.com/baobabquay/baobabquay/internal/site"
+	"github.com/baobabquay/baobabquay/internal/store"
 	"github.com/baobabquay/baobabquay/pkg/wire"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -40,6 +42,7 @@
 	relay   *relay.Relay
 	shards  *shards
 	status  *status
+	table   store.Table
 	log     event.Log
 	callers *http.Server
 	peers   *http.Server
@@ -57,6 +60,8 @@
 	// stopSlack is the part of the stop limit that is left for the servers
 	// after the requests have ended.
 	stopSlack = 5 * time.Second
+	// sweepEvery is the period at which old claims are deleted.
+	sweepEvery = time.Hour
 )
 
 var errNoDomain = errors.New("no such failure domain")
@@ -68,7 +73,7 @@
 		fx.Supply(s, l),
 		fx.Provide(
 			newSelf, newLog, newPlatform, newPeers, newStatus, newSite, newFinder, newAgent,
-			newShards, newMembers, newRelay, newRoster, newIntake, newLife,
+			newShards, newRoutes, newMembers, newRelay, newRoster, newIntake, newLife,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *life) {
 			lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
@@ -80,11 +85,11 @@
 
 func newLife(
 	self member.Info, k *site.Keeper, m *member.Service, ro *roster.Roster, r *relay.Relay,
-	in *intake.Intake, sh *shards, st *status, f *finder, log event.Log,
+	in *intake.Intake, sh *shards, st *status, f *finder, t store.Table, log event.Log,
 ) *life {
 	f.view, sh.deps.view, sh.deps.roster = m, m, ro
 	l := &life{
-		self: self, site: k, members: m, roster: ro, relay: r, shards: sh, status: st, log: log,
+		self: self, site: k, members: m, roster: ro, relay: r, shards: sh, status: st, table: t, log: log,
 	}
 	l.callers = newServer(entry.NewHandler(entry.Deps{
 		Config: k.Current, Jobs: in, Relay: r.Do, Region: self.Region, Ready: st.isReady,
@@ -145,6 +150,7 @@
 	l.loops.Go(func() { l.site.Run(run) })
 	l.loops.Go(func() { l.roster.Run(run) })
 	l.loops.Go(func() { l.shards.run(run) })
+	l.loops.Go(func() { l.sweep(run) })
 	l.loops.Go(func() { l.becomeReady(run) })
 	return nil
 }
@@ -170,6 +176,28 @@
 	}
 }
 
+// sweep deletes the old claims of instances that are gone, at the instance that
+// owns the first failure domain, so that one instance does it.
+func (l *life) sweep(ctx context.Context) {
+	settings := claim.DefaultSettings()
+	s := claim.Sweeper{Table: l.table, Retention: settings.Retention, MaxBatch: settings.MaxBatch}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sweepEvery):
+		}
+		c := l.site.Current()
+		if len(c.Domains) == 0 {
+			continue
+		}
+		if owner, _, ok := l.shards.summary(c.Domains[0].Name); ok && owner == l.self.Instance {
+			// A sweep that fails is continued by the next one.
+			_, _ = s.Sweep(ctx, time.Now())
+		}
+	}
+}
+
 // stop is the planned stop: the load balancer is told, what is owned is handed
 // over, what is in flight ends, and only then do the listeners close.
 func (l *life) stop(ctx context.Context) error {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -86,11 +86,12 @@
 }
 
 func newMembers(
-	t store.Table, self member.Info, k *site.Keeper, o *offer, p *peer.Client, st *status, sh *shards, log event.Log,
+	t store.Table, self member.Info, k *site.Keeper, o *offer, p *peer.Client, st *status, sh *shards,
+	routes *route.Table, log event.Log,
 ) *member.Service {
 	s := member.NewService(member.Deps{
 		Table: t, Self: self, Log: log,
-		Local: func() member.State { return localState(self, k, st, sh) },
+		Local: func() member.State { return localState(self, k, st, sh, routes) },
 		Exchange: func(ctx context.Context, to member.Info, s member.State) (member.State, error) {
 			return p.Exchange(ctx, to.Peer, s)
 		},
@@ -98,17 +99,20 @@
 			if s.Config != nil {
 				k.Learn(s.Config)
 			}
+			for _, e := range s.Leaving {
+				routes.MarkTold(e, time.Now())
+			}
 		},
 	})
 	o.call = s.Offer
 	return s
 }
 
-func localState(self member.Info, k *site.Keeper, st *status, sh *shards) member.State {
+func localState(self member.Info, k *site.Keeper, st *status, sh *shards, routes *route.Table) member.State {
 	c := k.Highest()
 	s := member.State{
 		Instance: self.Instance, ConfigVersion: c.Version, Shards: sh.summaries(),
-		Ready: st.isReady(), Stopping: st.isStopping(),
+		Ready: st.isReady(), Stopping: st.isStopping(), Leaving: routes.Heard(time.Now()),
 	}
 	if c.Version > 0 {
 		s.Config = c
@@ -146,7 +150,7 @@
 }
 
 func newRelay(
-	t store.Table, self member.Info, k *site.Keeper, c *http.Client, find *finder, log event.Log,
+	t store.Table, self member.Info, k *site.Keeper, c *http.Client, find *finder, routes *route.Table, log event.Log,
 ) *relay.Relay {
 	settings := relay.DefaultSettings()
 	settings.Instance = self.Instance
@@ -158,9 +162,11 @@
 		Send: func(ctx context.Context, e route.Endpoint, a relay.Attempt) (relay.Reply, error) {
 			return send(ctx, c, k, e, a)
 		},
-	}, route.New(route.DefaultSettings()), settings, log)
+	}, routes, settings, log)
 }
 
+func newRoutes() *route.Table { return route.New(route.DefaultSettings()) }
+
 func newIntake(
 	t store.Table, o store.Objects, k *site.Keeper, sh *shards, log event.Log,
 ) *intake.Intake {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -46,12 +46,12 @@
 	if req.ID == "" {
 		req.ID = ident.Request(uuid.NewString())
 	}
-	if text := h.Get(wire.HeaderNonIdempotent); text != "" {
-		b, err := strconv.ParseBool(text)
-		if err != nil {
-			return req, fmt.Errorf("header %s: %w", wire.HeaderNonIdempotent, err)
-		}
-		req.NonIdempotent = b
+	var err error
+	if req.NonIdempotent, err = boolHeader(h, wire.HeaderNonIdempotent); err != nil {
+		return req, err
+	}
+	if req.Resubmitted, err = boolHeader(h, wire.HeaderResubmitted); err != nil {
+		return req, err
 	}
 	if text := h.Get(wire.HeaderDeadline); text != "" {
 		d, err := time.ParseDuration(text)
@@ -63,14 +63,24 @@
 		}
 		req.Deadline = now.Add(d)
 	}
-	class, err := jobs.ParseClass(h.Get(wire.HeaderClass))
-	if err != nil {
+	if req.Class, err = jobs.ParseClass(h.Get(wire.HeaderClass)); err != nil {
 		return req, fmt.Errorf("header %s: %w", wire.HeaderClass, err)
 	}
-	req.Class = class
 	return req, nil
 }
 
+func boolHeader(h http.Header, name string) (bool, error) {
+	text := h.Get(name)
+	if text == "" {
+		return false, nil
+	}
+	b, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, fmt.Errorf("header %s: %w", name, err)
+	}
+	return b, nil
+}
+
 func writeAnswer(w http.ResponseWriter, a relay.Answer) {
 	if a.Outcome == relay.Done {
 		write(w, a.Status, wire.Done, a.ContentType, a.Body)
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/config"
 	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/route"
 	"github.com/baobabquay/baobabquay/internal/sched"
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,6 +36,9 @@
 		Shards   []sched.Summary
 		Ready    bool
 		Stopping bool
+		// Leaving are the endpoints that said to the sender lately that they
+		// are leaving. The platform's list tells it later.
+		Leaving []route.Endpoint
 	}
 
 	// Peer is another instance as this one knows it.
--- a/internal/peer/form.go
+++ b/internal/peer/form.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/ident"
@@ -9,6 +10,7 @@
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/record"
 	"github.com/baobabquay/baobabquay/internal/relay"
+	"github.com/baobabquay/baobabquay/internal/route"
 	"github.com/baobabquay/baobabquay/internal/sched"
 	"github.com/pkg/errors"
 )
@@ -43,6 +45,11 @@
 			Unmet:               sum.Unmet,
 		})
 	}
+	for _, e := range s.Leaving {
+		f.Leaving = append(f.Leaving, &peerv1.LeavingEndpoint{
+			Name: string(e.Name), Address: e.Address.String(), Incarnation: e.Incarnation,
+		})
+	}
 	return f, nil
 }
 
@@ -60,6 +67,15 @@
 		}
 		s.Config = c
 	}
+	for _, e := range f.GetLeaving() {
+		address, err := netip.ParseAddrPort(e.GetAddress())
+		if err != nil {
+			return member.State{}, fmt.Errorf("decode state of %s: endpoint %s: %w", s.Instance, e.GetName(), err)
+		}
+		s.Leaving = append(s.Leaving, route.Endpoint{
+			Name: ident.Endpoint(e.GetName()), Address: address, Incarnation: e.GetIncarnation(),
+		})
+	}
 	for _, sum := range f.GetShards() {
 		s.Shards = append(s.Shards, sched.Summary{
 			Domain:              ident.Domain(sum.GetDomain()),
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -21,7 +21,11 @@
 		ID            ident.Request
 		Service       ident.Service
 		NonIdempotent bool
-		Class         jobs.Class
+		// Resubmitted tells that the caller has sent the identifier before and
+		// does not know what became of it. Without a claim of its own, this
+		// instance then never says that the request was not run.
+		Resubmitted bool
+		Class       jobs.Class
 		// Deadline ends the request. If it is zero the service's timeout applies.
 		Deadline    time.Time
 		Region      ident.Region
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -89,9 +89,11 @@
 
 // inDoubt reports whether the request may have run although the passage ended
 // with a refusal: an attempt was lost, an unresolved claim may turn out to be
-// another instance's, or the claim was handed to another instance.
+// another instance's, the claim was handed to another instance, or an earlier
+// submission may have run elsewhere.
 func (p *passage) inDoubt() bool {
-	return p.lost || !p.claim.sure && (p.claim.maybe || p.claim.holder != "")
+	earlier := p.req.NonIdempotent && p.req.Resubmitted
+	return p.lost || !p.claim.sure && (p.claim.maybe || p.claim.holder != "" || earlier)
 }
 
 func (r *Relay) report(p *passage, ans Answer) {
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/claim"
 	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/store"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
@@ -229,3 +230,20 @@
 		w.assertNoBreach(t)
 	})
 }
+
+// TestResubmitted guards against a refusal that says a request was not run
+// although an earlier submission of it ran at another instance: its caller
+// asks again while the store cannot tell.
+func TestResubmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2, 2, nil)
+		assert.Equal(t, w.submit("entry-1", request("once")).Outcome, Done)
+		w.commitFault = func(ident.Instance, func() (int64, error)) (int64, error) { return 0, store.ErrUnavailable }
+		first := w.submit("entry-2", request("once-more"))
+		assert.Equal(t, first.Outcome, NotRun)
+		again := request("once")
+		again.Resubmitted = true
+		assert.Equal(t, w.submit("entry-2", again).Outcome, Unknown)
+		w.assertNoBreach(t)
+	})
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -150,8 +150,11 @@
 	HeaderOutcome       = "Baobabquay-Outcome"
 	HeaderRequestID     = "Baobabquay-Request-Id"
 	HeaderNonIdempotent = "Baobabquay-Non-Idempotent"
-	HeaderDeadline      = "Baobabquay-Deadline"
-	HeaderClass         = "Baobabquay-Class"
+	// HeaderResubmitted is true if the caller has sent the identifier before
+	// and does not know what became of it.
+	HeaderResubmitted = "Baobabquay-Resubmitted"
+	HeaderDeadline    = "Baobabquay-Deadline"
+	HeaderClass       = "Baobabquay-Class"
 )
 
 // The paths.
