Add the commands that need a server

Cause: operators and callers had no commands for a running site. Looking the workspace of explain up on the server, because two workspaces can have jobs of the same name. Change: config apply, config diff and show --in-force, workspace, service, domain, status, jobs, explain, job and request, over package client. A lost race exits with 4, an unknown outcome with 5. A failure domain that does not exist is answered as notFound; invalidConfiguration made the client exit with 3, which means mistakes in files. Figures: four golden files hold 69 command lines against the real handlers with stand-ins behind them, lost answers among them. Conclusion: each command has golden output as text and JSON, help with examples and an exit code for its outcome.

--- a/cmd/baobabquay/main.go
+++ b/cmd/baobabquay/main.go
@@ -5,6 +5,7 @@
 //
 //	baobabquay --help
 //	baobabquay config check base.ini overlay.ini
+//	baobabquay status --server 10.0.0.1:8080
 package main
 
 import (
@@ -14,6 +15,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/cmds"
 	"github.com/baobabquay/baobabquay/internal/keys"
+	"github.com/baobabquay/baobabquay/pkg/client"
 )
 
 func main() {
@@ -21,6 +23,7 @@
 	code := cmds.Run(ctx, cmds.Env{
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr,
 		ReadFile: os.ReadFile, NewKey: keys.Generate, HashOf: keys.HashOf,
+		Getenv: os.Getenv, Connect: client.New,
 	}, os.Args[1:])
 	stop()
 	os.Exit(int(code))
--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -20,7 +20,7 @@
 func newConfig() *command {
 	return &command{
 		name:    "config",
-		summary: "check, show and compare configurations",
+		summary: "check, show, compare and apply configurations",
 		examples: []example{
 			{"baobabquay config check base.ini erdenet.ini", "check a base and an overlay"},
 			{"baobabquay config show base.ini erdenet.ini", "see which file each value comes from"},
@@ -36,23 +36,27 @@
 				},
 			},
 			{
-				name: "show", args: "FILE...", run: runShow,
+				name: "show", args: "[FILE...]", run: runShow, flags: append(serverFlags(), inForceFlag),
 				summary: "print each value in effect and the file and line it comes from",
-				details: filesHelp + "\n\nThe output is INI that can be read again. Values that no file has are marked as default.",
+				details: filesHelp + "\n\nThe output is INI that can be read again. Values that no file has are marked as default.\n" +
+					"With --in-force it is the configuration in force, and there are no files.",
 				examples: []example{
 					{"baobabquay config show base.ini erdenet.ini", "see what the overlay changes, and where"},
+					{"baobabquay config show --in-force", "print the configuration in force and its version"},
 				},
 			},
 			{
-				name: "diff", args: "FILE... -- FILE...", run: runDiff,
+				name: "diff", args: "FILE... [-- FILE...]", run: runDiff, flags: append(serverFlags(), inForceFlag),
 				summary: "list the changes from one configuration to another",
-				details: "The files before -- make the old configuration, those after it the new one.\n" + filesHelp,
+				details: "The files before -- make the old configuration, those after it the new one. With --in-force the\n" +
+					"old configuration is the one in force, and all files make the new one.\n" + filesHelp,
 				examples: []example{
 					{"baobabquay config diff base.ini -- base.ini erdenet.ini", "list what an overlay changes"},
 					{"baobabquay config diff old.ini site.ini -- new.ini site.ini", "list the effect of a new base on a site"},
+					{"baobabquay config diff --in-force base.ini erdenet.ini", "list what applying the files would change"},
 				},
 			},
-			// config apply and other commands that need a server go here.
+			newApply(),
 		},
 	}
 }
@@ -69,6 +73,9 @@
 }
 
 func runShow(ctx context.Context, c *call) error {
+	if c.options.inForce {
+		return c.showInForce(ctx)
+	}
 	r, err := c.read(ctx, append(c.args, c.rest...))
 	if err != nil {
 		return err
@@ -82,6 +89,9 @@
 }
 
 func runDiff(ctx context.Context, c *call) error {
+	if c.options.inForce {
+		return c.diffInForce(ctx)
+	}
 	if len(c.rest) == 0 {
 		return usageErrorf("the files of the new configuration are missing; they stand after --")
 	}
@@ -90,9 +100,13 @@
 	if err := joined(oldErr, newErr); err != nil {
 		return err
 	}
+	return c.printChanges(config.Diff(old.Config, changed.Config))
+}
+
+func (c *call) printChanges(changes []config.Change) error {
 	f := changesForm{Changes: []changeForm{}}
 	var b strings.Builder
-	for _, change := range config.Diff(old.Config, changed.Config) {
+	for _, change := range changes {
 		p := change.Path
 		f.Changes = append(f.Changes, changeForm{change.Op, p.Kind, p.Name, p.Field, change.Old, change.New})
 		fmt.Fprintln(&b, change)
--- a/internal/cmds/doc.go
+++ b/internal/cmds/doc.go
@@ -7,12 +7,14 @@
 //
 // Every command that prints takes "--output json". Commands and their flags are
 // declared as data in one function for each group, and newRoot lists the
-// groups.
+// groups. Commands that need a server call it through package client, and the
+// outcome of the call decides the exit code.
 //
 // # Usage
 //
 //	env := cmds.Env{In: os.Stdin, Out: os.Stdout, Err: os.Stderr,
-//		ReadFile: os.ReadFile, NewKey: keys.Generate, HashOf: keys.HashOf}
+//		ReadFile: os.ReadFile, NewKey: keys.Generate, HashOf: keys.HashOf,
+//		Getenv: os.Getenv, Connect: client.New}
 //	code := cmds.Run(ctx, env, os.Args[1:])
 //	os.Exit(int(code))
 package cmds
--- a/internal/cmds/help.go
+++ b/internal/cmds/help.go
@@ -10,7 +10,8 @@
   1  failed, for example because a file cannot be read
   2  wrong usage
   3  mistakes in the configuration
-  4  conflict with a change that somebody else made
+  4  conflict with a change that somebody else made; nothing was changed
+  5  outcome unknown: the call may have had its effect
 `
 
 // printHelp prints the help text of the command.
@@ -51,6 +52,9 @@
 	b.WriteString("Flags:\n")
 	writeTable(b, len(flags), func(i int) (string, string) {
 		f := flags[i]
+		if f.short == "" {
+			return strings.TrimRight(fmt.Sprintf("    --%s %s", f.long, f.arg), " "), f.summary
+		}
 		return strings.TrimSpace(fmt.Sprintf("-%s, --%s %s", f.short, f.long, f.arg)), f.summary
 	})
 }
--- /dev/null
+++ b/internal/cmds/online_test.go
@@ -0,0 +1,271 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/entry"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/fakes"
+	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/inifmt"
+	"github.com/baobabquay/baobabquay/internal/intake"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/record"
+	"github.com/baobabquay/baobabquay/internal/relay"
+	"github.com/baobabquay/baobabquay/internal/sched"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/site"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/internal/worker"
+	"github.com/baobabquay/baobabquay/pkg/client"
+	"github.com/baobabquay/baobabquay/pkg/wire"
+)
+
+const (
+	operatorKey  = "00000000000000000000000000000000000000000000000b"
+	workspaceKey = "00000000000000000000000000000000000000000000000a"
+	serverText   = "127.0.0.1:1,127.0.0.1:2"
+)
+
+// rig is a server with stand-ins behind the real handlers.
+type rig struct {
+	keeper *site.Keeper
+	table  store.Table
+	pipe   *fakes.Pipe
+	server *httptest.Server
+	// loseAnswer drops the connection after the next call has been handled.
+	loseAnswer bool
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{table: fakes.NewTable().Store(), pipe: fakes.NewPipe()}
+	r.keeper = site.NewKeeper(site.Deps{Table: r.table, Log: event.Discard()})
+	first, err := parseSite(string(golden.Get(t, "site.ini")))
+	assert.NilError(t, err)
+	_, err = r.keeper.Apply(t.Context(), 0, first)
+	assert.NilError(t, err)
+	handler := entry.NewHandler(entry.Deps{
+		Config: r.keeper.Current, Region: "ulaanbaatar", Ready: func() bool { return true }, Relay: echo,
+		Jobs: intake.New(intake.Deps{
+			Table: r.table, Objects: fakes.NewObjects().Store(), Config: r.keeper.Current, Candidates: candidates,
+			Notify: func(ident.Domain, ident.Workspace, ident.Job) {}, Log: event.Discard(),
+		}),
+		Admin: entry.Admin{
+			Render: inifmt.Write, Parse: parseSite, Apply: r.keeper.Apply, SetDomain: r.setDomain, Status: r.status,
+			Explain: func(jobs.Job) string { return "no rack has 2 free workers" },
+		},
+	})
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.loseAnswer && req.Method != http.MethodGet {
+			handler.ServeHTTP(httptest.NewRecorder(), req)
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, req)
+	}))
+	assert.NilError(t, r.server.Listener.Close())
+	r.server.Listener = r.pipe
+	r.server.Start()
+	return r
+}
+
+func parseSite(text string) (*config.Config, error) {
+	r, err := inifmt.Read(context.Background(), inifmt.Source{File: "applied", Text: text})
+	if err != nil {
+		return nil, err
+	}
+	return r.Config, nil
+}
+
+func echo(_ context.Context, r relay.Request) relay.Answer {
+	switch string(r.Body) {
+	case "lost":
+		return relay.Answer{Outcome: relay.Unknown, Reason: relay.ReasonAnswerLost, Detail: "the endpoint closed the connection"}
+	case "refused":
+		return relay.Answer{Outcome: relay.NotRun, Reason: relay.ReasonOverload, Detail: "queue full", RetryAfter: time.Second}
+	case "wrong":
+		return relay.Answer{Outcome: relay.Done, Status: http.StatusUnprocessableEntity, Body: []byte("no font\n")}
+	}
+	body := fmt.Sprintf("%s %s %v %v %s %s\n", r.Workspace, r.Service, r.NonIdempotent, r.Class, r.ContentType, r.Body)
+	return relay.Answer{Outcome: relay.Done, Status: http.StatusOK, ContentType: "text/plain", Body: []byte(body)}
+}
+
+func candidates(ident.Workspace, jobs.Spec) []sched.Candidate {
+	capacity := shape.Resources{Accelerators: 8, Processors: 60, Memory: 256 * shape.GiB}
+	var workers []fleet.Worker
+	for _, id := range []ident.Worker{"w1", "w2"} {
+		workers = append(workers, fleet.Worker{Spec: worker.Spec{ID: id, Domain: "ub1", Rack: "r1", Capacity: capacity}, Free: capacity})
+	}
+	return []sched.Candidate{{Summary: sched.Summary{Domain: "ub1"}, InService: true, Workers: workers}}
+}
+
+func (r *rig) setDomain(ctx context.Context, d ident.Domain, in bool) (*config.Config, error) {
+	next, _ := r.keeper.Current().WithDomain(d, in)
+	return r.keeper.Apply(ctx, r.keeper.Current().Version, next)
+}
+
+func (r *rig) status() wire.Status {
+	v := r.keeper.Current().Version
+	return wire.Status{
+		Instance: "e1-1", Version: v,
+		Instances: []wire.Instance{
+			{Name: "e1-1", Domain: "ub1", Region: "ulaanbaatar", Address: netip.MustParseAddrPort("10.0.0.1:8080"), Version: v, Ready: true},
+			{Name: "e2-1", Domain: "erd1", Region: "erdenet", Address: netip.MustParseAddrPort("10.1.0.1:8080"), Version: v - 1},
+		},
+		Domains: []wire.Domain{
+			{
+				Name: "ub1", Region: "ulaanbaatar", InService: true, Owner: "e1-1", Epoch: 3, Workers: 17, Accelerators: 136,
+				FreeAccelerators: 8, WaitingJobs: 2, RunningJobs: 11, Unmet: []string{"foundryA/proofing: 1 of 2 fit in no rack"},
+			},
+			{Name: "erd1", Region: "erdenet"},
+		},
+		Endpoints: []wire.Endpoint{
+			{Name: "p1", Service: "proof", Domain: "ub1"}, {Name: "p2", Service: "proof", Domain: "ub1", Leaving: true},
+			{Name: "p3", Service: "proof", Domain: "erd1"}, {Name: "s1", Service: "stamp", Domain: "ub1"},
+		},
+	}
+}
+
+// end ends a job as its shard owner does.
+func (r *rig) end(t *testing.T, id ident.Job, state jobs.State) {
+	row, err := r.table.Get(t.Context(), record.JobKey("foundryA", id))
+	assert.NilError(t, err)
+	j, err := record.DecodeJob(row.Value)
+	assert.NilError(t, err)
+	j.State, j.Ended, j.Attempt, j.Result = state, time.Now(), 1, []byte("12 sheets")
+	value, err := record.EncodeJob(j)
+	assert.NilError(t, err)
+	_, err = r.table.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: row.Key, Value: value}}})
+	assert.NilError(t, err)
+}
+
+// run runs a command line against the rig. A line begins with the key's holder.
+func (r *rig) run(t *testing.T, in, line string) string {
+	var out, errOut bytes.Buffer
+	holder, line, _ := strings.Cut(line, " ")
+	key := map[string]string{"operator": operatorKey, "workspace": workspaceKey}[holder]
+	code := Run(t.Context(), Env{
+		In: strings.NewReader(in), Out: &out, Err: &errOut,
+		ReadFile: func(name string) ([]byte, error) { return os.ReadFile(filepath.Join("testdata", name)) },
+		Getenv:   func(name string) string { return map[string]string{serverVariable: serverText, keyVariable: key}[name] },
+		Connect: func(s client.Settings) *client.Client {
+			s.Dial, s.Random = r.pipe.Dial, func() float64 { return 0.5 }
+			return client.New(s)
+		},
+	}, strings.Fields(line))
+	return fmt.Sprintf("%s$ baobabquay %s\n%s--- standard error\n%s--- exit code %d\n", holder, line, &out, &errOut, code)
+}
+
+// online are the command lines of the golden files. "!lose" loses the answers
+// of all changes from there on; "!done" and "!failed" end the job after them.
+var online = map[string][]string{
+	"online-config": {
+		"operator config show --in-force", "operator config show --in-force -o json",
+		"operator config diff --in-force site.ini", "operator config diff --in-force base.ini",
+		"operator config apply base.ini --base 7", "operator config apply base.ini --base 7 -o json",
+		"operator config apply bad.ini", "operator config apply site.ini --base x", "workspace config apply site.ini",
+		"operator config apply site.ini", "operator config apply site.ini --base 2 -o json",
+		"!lose", "operator config apply site.ini", "operator config apply site.ini -o json",
+	},
+	"online-site": {
+		"operator workspace list", "operator workspace list -o json", "operator workspace show foundryA",
+		"operator workspace show foundryA -o json", "operator workspace show nobody",
+		"operator service list", "operator service list -o json", "operator service show proof",
+		"operator service show proof -o json", "operator service show stamp", "operator service show none",
+		"operator status", "operator status -o json", "workspace status",
+		"operator domain out ub1", "operator domain in ub1 -o json", "operator domain out nowhere", "operator domain out",
+	},
+	"online-jobs": {
+		"workspace job submit --members 2 --accelerators 8 --adjacency rack --request-id a --payload base.ini",
+		"workspace job submit --members 2 --accelerators 8 --adjacency rack --request-id a --payload base.ini -o json",
+		"workspace job submit --accelerators 1 --request-id a", "workspace job submit --members 64 --accelerators 8",
+		"workspace job submit --accelerators one", "workspace job submit --memory 1GB", "workspace job submit --run-time 1",
+		"workspace job submit --accelerators 1 --memory 64GiB --class urgent --run-time 1h --request-id b --payload -",
+		"workspace jobs", "workspace jobs -o json", "operator jobs -w foundryA", "operator jobs --workspace foundryB",
+		"operator explain req-a --workspace foundryA", "operator explain req-a -w foundryA -o json",
+		"operator explain req-a", "operator explain req-a -w foundryB", "workspace job show req-b",
+		"workspace job wait req-b --timeout 20s", "!done req-b", "workspace job wait req-b", "workspace job wait req-b -o json",
+		"workspace job cancel req-b", "workspace job cancel req-a", "!failed req-a", "workspace job wait req-a",
+		"workspace job show none", "workspace job show",
+		"!lose", "workspace job submit --accelerators 1 --request-id c", "workspace job cancel req-a -o json",
+	},
+	"online-request": {
+		"workspace request proof --request-id a", "workspace request proof -n -c urgent --content-type text/plain -o json --request-id a",
+		"workspace request proof --class soon", "operator request proof", "workspace request", "nobody jobs",
+		"nobody jobs --server nowhere", "nobody jobs --timeout soon",
+	},
+}
+
+// TestOnline guards against changes of output, exit code or outcome of the
+// commands that need a server.
+func TestOnline(t *testing.T) {
+	for name, lines := range online {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				var all strings.Builder
+				for _, line := range lines {
+					action, id, _ := strings.Cut(line, " ")
+					switch action {
+					case "!lose":
+						r.loseAnswer = true
+					case "!done":
+						r.end(t, ident.Job(id), jobs.Done)
+					case "!failed":
+						r.end(t, ident.Job(id), jobs.Failed)
+					default:
+						all.WriteString(r.run(t, "a proof", line))
+					}
+				}
+				if name == "online-request" {
+					for _, body := range []string{"lost", "refused", "wrong"} {
+						all.WriteString(r.run(t, body, "workspace request proof --request-id "+body))
+					}
+				}
+				r.server.Close()
+				golden.Assert(t, all.String(), name+".golden")
+			})
+		})
+	}
+}
+
+// TestOnlineHelp guards against changes of help texts, and against a command
+// without examples.
+func TestOnlineHelp(t *testing.T) {
+	var all strings.Builder
+	var walk func(m *command)
+	walk = func(m *command) {
+		if m.run != nil {
+			assert.Assert(t, len(m.examples) > 0, m.path)
+		}
+		for _, sub := range m.subs {
+			walk(sub)
+		}
+	}
+	walk(newRoot())
+	for _, line := range []string{
+		"config apply", "workspace", "workspace show", "service list", "domain out", "status", "jobs", "explain", "job",
+		"job submit", "job wait", "request",
+	} {
+		code := Run(t.Context(), Env{Out: &all, Err: io.Discard}, append(strings.Fields(line), "--help"))
+		assert.Equal(t, code, OK, line)
+		all.WriteString("\n")
+	}
+	golden.Assert(t, all.String(), "help-online.golden")
+}
--- a/internal/cmds/print.go
+++ b/internal/cmds/print.go
@@ -24,6 +24,9 @@
 	}
 
 	valuesForm struct {
+		// Version is that of the configuration in force, or 0 for files.
+		Version int64 `json:"version,omitempty"`
+
 		Values []valueForm `json:"values"`
 	}
 
--- a/internal/cmds/run.go
+++ b/internal/cmds/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/inifmt"
 	"github.com/baobabquay/baobabquay/internal/keys"
+	"github.com/baobabquay/baobabquay/pkg/client"
 )
 
 type (
@@ -25,6 +26,10 @@
 		// to functions with fixed results.
 		NewKey func() (string, error)
 		HashOf func(key string) (keys.Hash, error)
+		// Getenv returns a variable of the environment.
+		Getenv func(name string) string
+		// Connect returns the client of the commands that need a server.
+		Connect func(s client.Settings) *client.Client
 	}
 
 	// codeError is an error with the exit code that it leads to.
@@ -41,6 +46,7 @@
 	Usage    Code = 2
 	Mistakes Code = 3
 	Conflict Code = 4
+	Unknown  Code = 5
 )
 
 // Run runs the command that the arguments name, without the program's name
@@ -78,7 +84,7 @@
 	case errors.As(err, &mistakes):
 		return Mistakes
 	}
-	return Failed
+	return codeOfCall(err)
 }
 
 // report prints an error. Mistakes in files are a result: with JSON output
@@ -91,6 +97,8 @@
 			return
 		}
 	}
+	c.env = env
+	c.printFailure(err)
 	text := fmt.Sprintf("%s: %v\n", c.command.path, err)
 	if code == Usage {
 		text += fmt.Sprintf("Run %q for help.\n", c.command.path+" --help")
--- /dev/null
+++ b/internal/cmds/table.go
@@ -0,0 +1,37 @@
+package cmds
+
+import (
+	"strings"
+	"unicode/utf8"
+)
+
+// table is text in columns. The first row has the headings.
+type table [][]string
+
+const columnGap = "  "
+
+// String returns the rows with aligned columns. An empty cell is "-", so that
+// every row has the same number of words for programs that split it.
+func (t table) String() string {
+	widths := make([]int, len(t[0]))
+	for _, row := range t {
+		for i, cell := range row {
+			widths[i] = max(widths[i], 1, utf8.RuneCountInString(cell))
+		}
+	}
+	var b strings.Builder
+	for _, row := range t {
+		for i, cell := range row {
+			if cell == "" {
+				cell = "-"
+			}
+			b.WriteString(cell)
+			if i == len(row)-1 {
+				b.WriteByte('\n')
+				continue
+			}
+			b.WriteString(strings.Repeat(" ", widths[i]-utf8.RuneCountInString(cell)) + columnGap)
+		}
+	}
+	return b.String()
+}
--- a/internal/cmds/tree.go
+++ b/internal/cmds/tree.go
@@ -38,8 +38,18 @@
 
 	// options are the values of all flags.
 	options struct {
-		help   bool
-		output string
+		help    bool
+		output  string
+		server  string
+		key     string
+		timeout string
+		// base and inForce belong to the commands for configurations.
+		base    string
+		inForce bool
+		// workspace is the one that an operator asks about.
+		workspace string
+		job       jobOptions
+		request   requestOptions
 	}
 
 	// call is one run of a command.
@@ -83,8 +93,15 @@
 			// Commands that need no server.
 			newConfig(),
 			newKey(),
-			// Commands that need a server go here; their connection is a
-			// further function field of Env.
+			// Commands that need a server.
+			newWorkspace(),
+			newService(),
+			newDomain(),
+			newStatus(),
+			newJobs(),
+			newExplain(),
+			newJob(),
+			newRequest(),
 		},
 	}
 	root.link(nil)
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -71,7 +71,7 @@
 	name := ident.Domain(mux.Vars(r)["name"])
 	if _, ok := f.deps.Config().Domain(name); !ok {
 		writeError(w, http.StatusNotFound, wire.Error{
-			Outcome: wire.NotRun, Reason: reasonConfig, Detail: "no such failure domain: " + string(name),
+			Outcome: wire.NotRun, Reason: string(intake.ReasonNotFound), Detail: "no such failure domain: " + string(name),
 		})
 		return
 	}
