Test the handlers against bad input

Cause: the front end had no tests. Ruled out: expectations in Go for each call; the golden file shows status, outcome and reason of every call side by side. Change: testdata/calls.txt lists calls with wrong keys, jobs of another workspace, oversize and cut bodies, unknown fields, absurd sizes and malformed headers, and calls.golden what the handlers answer. Seven are answered wrongly as of this commit: a key without "Bearer " is accepted, two paths that are not clean are redirected without an outcome, a second Baobabquay-Non-Idempotent header is ignored, a body {} takes a failure domain out of service, and a submission of another class under a used identifier returns the first job (two calls).

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/fakes"
+	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/inifmt"
+	"github.com/baobabquay/baobabquay/internal/intake"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/relay"
+	"github.com/baobabquay/baobabquay/internal/route"
+	"github.com/baobabquay/baobabquay/internal/sched"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/site"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/internal/worker"
+	"github.com/baobabquay/baobabquay/pkg/wire"
+)
+
+// The keys of testdata/site.ini.
+const (
+	keyA     = "00000000000000000000000000000000000000000000000a"
+	operator = "00000000000000000000000000000000000000000000000b"
+	keyB     = "00000000000000000000000000000000000000000000000c"
+)
+
+// testSite returns the configuration of the tests, which allows bodies of 1 KiB.
+func testSite(t *testing.T) *config.Config {
+	c, err := parseText(string(golden.Get(t, "site.ini")))
+	assert.NilError(t, err)
+	c.Version = 1
+	return c
+}
+
+func parseText(text string) (*config.Config, error) {
+	r, err := inifmt.Read(context.Background(), inifmt.Source{File: "applied", Text: text})
+	if err != nil {
+		return nil, err
+	}
+	return r.Config, nil
+}
+
+// newHandler returns the handlers over a table in memory. Requests to the
+// service proof find no endpoint.
+func newHandler(t *testing.T, table store.Table) http.Handler {
+	c := testSite(t)
+	capacity := shape.Resources{Accelerators: 8, Processors: 60, Memory: 256 * shape.GiB}
+	workers := []fleet.Worker{{Spec: worker.Spec{ID: "w1", Domain: "ub1", Rack: "r1", Capacity: capacity}, Free: capacity}}
+	r := relay.New(relay.Calls{
+		Config: func() *config.Config { return c },
+	}, route.New(route.DefaultSettings()), relay.DefaultSettings(), event.Discard())
+	return NewHandler(Deps{
+		Config: func() *config.Config { return c }, Region: "ulaanbaatar", Ready: func() bool { return false },
+		Relay: r.Do,
+		Jobs: intake.New(intake.Deps{
+			Table: table, Objects: fakes.NewObjects().Store(), Config: func() *config.Config { return c },
+			Candidates: func(ident.Workspace, jobs.Spec) []sched.Candidate {
+				return []sched.Candidate{{Summary: sched.Summary{Domain: "ub1"}, InService: true, Workers: workers}}
+			},
+			Notify: func(ident.Domain, ident.Workspace, ident.Job) {}, Log: event.Discard(),
+		}),
+		Admin: Admin{
+			Render: inifmt.Write, Parse: parseText, Apply: applied,
+			SetDomain: func(ctx context.Context, _ ident.Domain, _ bool) (*config.Config, error) { return applied(ctx, 1, c) },
+			Status:    func() wire.Status { return wire.Status{} }, Explain: func(jobs.Job) string { return "" },
+		},
+	})
+}
+
+// applied answers by the version that a change is based on.
+func applied(_ context.Context, base int64, c *config.Config) (*config.Config, error) {
+	switch base {
+	case 1:
+		return c, nil
+	case 2:
+		return nil, fmt.Errorf("apply: %w", site.ErrUnknown)
+	case 3:
+		return nil, fmt.Errorf("apply: %w", store.ErrUnavailable)
+	}
+	return nil, &site.ConflictError{Base: base, Current: 1}
+}
+
+// badCall reads a call from a block of testdata/calls.txt: method, path and
+// key, then headers, an empty line and the body.
+func badCall(block string) (*http.Request, error) {
+	head, body, _ := strings.Cut(block, "\n\n")
+	lines := strings.Split(strings.TrimSpace(head), "\n")
+	words := strings.Fields(lines[0])
+	var content io.Reader = strings.NewReader(body)
+	switch text := strings.TrimSpace(body); text {
+	case "(cut)":
+		content = io.MultiReader(strings.NewReader(`{"shape":`), cutReader{})
+	case "(large)":
+		content = strings.NewReader(strings.Repeat("x", 1025))
+	}
+	r := httptest.NewRequest(words[0], "http://entry"+words[1], content)
+	if key := map[string]string{"a": keyA, "b": keyB, "operator": operator, "wrong": strings.Repeat("0", 48)}[words[2]]; key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	for _, line := range lines[1:] {
+		name, value, ok := strings.Cut(line, ": ")
+		if !ok {
+			return nil, errors.Errorf("no header: %q", line)
+		}
+		r.Header.Add(name, value)
+	}
+	return r, nil
+}
+
+// cutReader ends like a connection that closes before the body is whole.
+type cutReader struct{}
+
+// Read returns the error of a cut body.
+func (cutReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestBadCalls guards against bad input that is accepted, answered without an
+// outcome, or answered with another status, outcome or reason than callers
+// were told, and against a job of another workspace that looks different from
+// one that does not exist.
+func TestBadCalls(t *testing.T) { synctest.Test(t, testBadCalls) }
+
+func testBadCalls(t *testing.T) {
+	b, err := os.ReadFile("testdata/calls.txt")
+	assert.NilError(t, err)
+	h := newHandler(t, fakes.NewTable().Store())
+	var all strings.Builder
+	for block := range strings.SplitSeq(string(b), "\n---\n") {
+		r, err := badCall(block)
+		assert.NilError(t, err)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		line, _, _ := strings.Cut(strings.TrimSpace(block), "\n")
+		body, _, _ := strings.Cut(w.Body.String(), `,"submitted"`)
+		fmt.Fprintf(&all, "%s\n  %d %s %s\n", line, w.Code, w.Header().Get(wire.HeaderOutcome), strings.TrimSpace(body))
+	}
+	golden.Assert(t, all.String(), "calls.golden")
+}
+
+// TestChangeOutcomes guards against a change of the configuration that is
+// reported as not run although it may have been accepted.
+func TestChangeOutcomes(t *testing.T) {
+	h := newHandler(t, fakes.NewTable().Store())
+	text := string(golden.Get(t, "site.ini"))
+	for base, want := range map[int]string{
+		1: "200 done", 2: "503 unknown", 3: "503 notRun", 4: "409 notRun",
+	} {
+		body := fmt.Sprintf(`{"base":%d,"text":%q}`, base, text)
+		r := httptest.NewRequest(http.MethodPut, wire.PathAdmin+"/config", strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+operator)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		assert.Equal(t, fmt.Sprintf("%d %s", w.Code, w.Header().Get(wire.HeaderOutcome)), want)
+	}
+}
