Fix five calls that the front end answered wrongly

Cause: the key was taken from any Authorization header, the router redirected paths that are not clean, only the first of several equal headers was read, and a missing inService was decoded as false. Ruled out: cleaning the path without a redirection, because a path that is not clean is a mistake of the caller. Taking the last header, because the caller's intent is not known and the request may be non-idempotent. Change: the key needs "Bearer ", a path that is not clean is noSuchPath, a second header of the request is malformedHeader, and a body without inService is malformedBody.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -13,6 +13,12 @@
 	"github.com/pkg/errors"
 )
 
+// domainChange is wire.DomainChange as it is decoded. A body without the value
+// must not take the domain out of service.
+type domainChange struct {
+	InService *bool `json:"inService"`
+}
+
 // maxConfig bounds the text of a configuration in bytes. 250 workspaces with
 // their guarantees take less than 200 KB.
 const maxConfig = 4 << 20
@@ -64,10 +70,16 @@
 }
 
 func (f *front) setDomain(w http.ResponseWriter, r *http.Request) {
-	var change wire.DomainChange
+	var change domainChange
 	if !readJSON(w, r, maxConfig, &change) {
 		return
 	}
+	if change.InService == nil {
+		writeError(w, http.StatusBadRequest, wire.Error{
+			Outcome: wire.NotRun, Reason: reasonBody, Detail: "inService is missing",
+		})
+		return
+	}
 	name := ident.Domain(mux.Vars(r)["name"])
 	if _, ok := f.deps.Config().Domain(name); !ok {
 		writeError(w, http.StatusNotFound, wire.Error{
@@ -75,7 +87,7 @@
 		})
 		return
 	}
-	accepted, err := f.deps.Admin.SetDomain(r.Context(), name, change.InService)
+	accepted, err := f.deps.Admin.SetDomain(r.Context(), name, *change.InService)
 	f.writeChange(w, accepted, err)
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -62,7 +62,9 @@
 // NewHandler returns the handler of all paths.
 func NewHandler(d Deps) http.Handler {
 	f := &front{deps: d}
-	r := mux.NewRouter()
+	// A path that is not clean is refused. The router would redirect it, in a
+	// response without an outcome.
+	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc(wire.PathJobs, f.workspace(f.submit)).Methods(http.MethodPost)
 	r.HandleFunc(wire.PathJobs, f.workspace(f.list)).Methods(http.MethodGet)
 	r.HandleFunc(wire.PathJobs+"/{id}", f.workspace(f.read)).Methods(http.MethodGet)
@@ -115,7 +117,11 @@
 	})
 }
 
+// bearer returns the key of the call, or "" if it has none.
 func bearer(r *http.Request) string {
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
 	return key
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -16,7 +16,15 @@
 	"github.com/pkg/errors"
 )
 
-var errDeadline = errors.New("the deadline must be a positive duration")
+var (
+	errDeadline = errors.New("the deadline must be a positive duration")
+	errRepeated = errors.New("the header stands more than once")
+
+	// requestHeaders are the headers of which a request may have one.
+	requestHeaders = []string{
+		wire.HeaderRequestID, wire.HeaderNonIdempotent, wire.HeaderDeadline, wire.HeaderClass,
+	}
+)
 
 // request sends the body to the service and returns its whole answer.
 func (f *front) request(w http.ResponseWriter, r *http.Request, ws config.Workspace) {
@@ -38,6 +46,11 @@
 
 func requestOf(r *http.Request, now time.Time) (relay.Request, error) {
 	h := r.Header
+	for _, name := range requestHeaders {
+		if len(h.Values(name)) > 1 {
+			return relay.Request{}, fmt.Errorf("header %s: %w", name, errRepeated)
+		}
+	}
 	req := relay.Request{
 		ID:          ident.Request(h.Get(wire.HeaderRequestID)),
 		Service:     ident.Service(mux.Vars(r)["service"]),
