Add make demo: both users' workloads, faults and independent checks

Cause: a new user had no way to see the parts work together, and no run checked the promises from outside the product.

Starting processes from the Go program, because the script then could not be read on its own.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 format: $(LINT) ## format the code
 	$(LINT) fmt
 
+demo: build ## start stand-ins and instances on loopback, run the examples and check the promises
+	@scripts/demo
+
 proto: ## generate the messages between instances; needs protoc, protoc-gen-go and protoc-gen-connect-go
 	cd internal/peerv1 && protoc --go_out=. --go_opt=paths=source_relative \
 		--connect-go_out=. --connect-go_opt=paths=source_relative,package_suffix= peer.proto
