--- a/internal/owner/decide.go
+++ b/internal/owner/decide.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
-	"github.com/baobabquay/baobabquay/internal/config"
 	"github.com/baobabquay/baobabquay/internal/fleet"
-	"github.com/baobabquay/baobabquay/internal/gang"
-	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/quota"
 	"github.com/baobabquay/baobabquay/internal/sched"
 )
 
 // decide asks the policy what to do with the present state.
 func (s *Shard) decide(_ context.Context, r *round) error {
 	v := s.view(r)
-	r.actions = s.deps.Policy.Decide(r.now, v)
+	if len(v.Waiting) > 0 || !v.InService {
+		s.addGangs(r, v)
+		v.Peers, v.Past = s.deps.Peers(), s.pastRuns()
+		sched.SortView(v)
+		r.actions = s.deps.Policy.Decide(r.now, v)
+	}
 	s.summarise(v)
 	return nil
 }
@@ -25,11 +30,7 @@
 	v := &sched.View{
 		Domain:     s.deps.Domain,
 		InService:  known && domain.InService,
-		Guarantees: homesIn(r.config, s.deps.Domain),
-	}
-	for _, h := range s.placed() {
-		verdict := gang.Judge(r.now, h.job, func(w ident.Worker) gang.Sight { return s.see(h.job, w) })
-		v.Gangs = append(v.Gangs, sched.Gang{Job: h.job, Progress: verdict.Progress, Saved: verdict.Saved})
+		Guarantees: quota.HomesIn(r.config, s.deps.Domain),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,10 +42,18 @@
 			v.Waiting = append(v.Waiting, h.job)
 		}
 	}
-	sched.SortView(v)
 	return v
 }
 
+// addGangs adds the jobs that hold workers. They are left out of a round with
+// nothing to place, because they are most of the view.
+func (s *Shard) addGangs(r *round, v *sched.View) {
+	for _, h := range s.placed() {
+		verdict := r.verdicts[keyOf(h.job)]
+		v.Gangs = append(v.Gangs, sched.Gang{Job: h.job, Progress: verdict.Progress, Saved: verdict.Saved})
+	}
+}
+
 // viewed returns the worker as the policy sees it. Only a worker that answered
 // in this round and is fenced can take new work.
 func (t *tracked) viewed() fleet.Worker {
@@ -60,29 +69,26 @@
 	return w
 }
 
-// homesIn returns the guaranteed shapes that have their home in the domain.
-func homesIn(c *config.Config, d ident.Domain) []sched.Home {
-	var homes []sched.Home
-	for _, w := range c.Workspaces {
-		for _, g := range w.Guarantees {
-			n := 0
-			for _, home := range g.Homes {
-				if home == d {
-					n++
-				}
-			}
-			if n > 0 {
-				homes = append(homes, sched.Home{Workspace: w.Name, Name: g.Name, Shape: g.Shape, Count: n})
-			}
-		}
-	}
-	return homes
+func (s *Shard) pastRuns() []sched.Past {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.past)
+}
+
+// learn keeps the run time of a job that is done.
+func (s *Shard) learn(j jobs.Job, actual time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = append(s.past, sched.Past{
+		Workspace: j.Workspace, Class: j.Spec.Class, Declared: j.Spec.RunTime, Actual: actual,
+	})
+	s.past = s.past[max(len(s.past)-pastKept, 0):]
 }
 
 func (s *Shard) summarise(v *sched.View) {
 	sum := sched.Summary{
 		Domain: s.deps.Domain, Workers: len(v.Workers),
-		WaitingJobs: len(v.Waiting), RunningJobs: len(v.Gangs),
+		WaitingJobs: len(v.Waiting), RunningJobs: len(s.placed()),
 	}
 	for _, w := range v.Workers {
 		if w.Health == fleet.Healthy {
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -151,7 +151,7 @@
 		Header: header, Attempt: attempt, Members: 2, Member: spec.Capacity, Hold: 10 * time.Second,
 	}))
 	one("agent.Start", a.Start(ctx, worker.Start{
-		Header: header, Attempt: attempt, First: 4, Tick: 1500 * time.Millisecond, InService: true,
+		Header: header, Attempt: attempt, First: 4, Tick: 1500 * time.Millisecond, Boot: "b1", InService: true,
 		Saved: time.Minute, Payload: []byte("{}"),
 	}))
 	one("agent.Renew", a.Renew(ctx, worker.Renew{
@@ -301,6 +301,7 @@
 	put := store.Txn{Checks: []store.Check{{Key: "a"}}, Puts: []store.Put{{Key: "a", Value: []byte("nonce")}}}
 	_, err := table.Commit(ctx, put)
 	assert.Assert(t, errors.Is(err, store.ErrUncertain) && !errors.Is(err, store.ErrUnavailable))
+	assert.ErrorIs(t, err, io.EOF, "the server closes the connection without an answer")
 	row, err := table.Get(ctx, "a")
 	assert.NilError(t, err)
 	assert.Equal(t, string(row.Value), "nonce")
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -35,13 +35,19 @@
 		claim   heldClaim
 	}
 
-	// heldClaim is the claim of a request that was not run.
+	// heldClaim is what an instance knows about its right to run a request.
 	heldClaim struct {
 		nonce string
 		// maybe is true if a commit of the claim is unresolved.
 		maybe bool
-		// sure is true if the claim is known to be ours.
+		// sure is true if this instance is the one that may run the request.
 		sure bool
+		// holder is the instance that the right was handed to. It is empty if
+		// it was not handed over, or to an instance that did not give its name.
+		holder ident.Instance
+		// until is when the claim may no longer be used, because its row may
+		// be deleted some time later.
+		until time.Time
 	}
 )
 
@@ -110,7 +116,7 @@
 			ans = old.answer
 			return old, true
 		}
-		if ok && old.stage == givenUp {
+		if ok && old.stage == givenUp && old.claim.holder == "" {
 			ans = Answer{Reason: ReasonGivenUp, Detail: "another instance may run the request"}
 			return old, true
 		}
@@ -144,6 +150,10 @@
 			return present, ok
 		}
 		f.stage = p.lastStage(ans)
+		if (f.stage == held || f.stage == givenUp) && f.expires.Before(f.claim.until) {
+			// Other instances may ask for as long as the claim may be used.
+			f.expires = f.claim.until
+		}
 		kept = f.stage != flying
 		return f, kept
 	})
@@ -159,6 +169,8 @@
 		return flying
 	case p.lost || ans.Outcome == Done:
 		return answered
+	case p.claim.holder != "":
+		return givenUp
 	case p.claim.sure || p.claim.maybe:
 		return held
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,7 +26,8 @@
 		// or is a *RefusedError, only if the request provably did not run.
 		Send func(ctx context.Context, e route.Endpoint, a Attempt) (Reply, error)
 		// Resolve asks another instance for the outcome of a request that it
-		// has claimed. The answer NotRun hands the claim over to this instance.
+		// has claimed; that instance calls its Relay.Resolve with the name of
+		// this one. The answer NotRun hands the claim over to this instance.
 		Resolve func(ctx context.Context, claimant ident.Instance, ws ident.Workspace, id ident.Request) (Answer, error)
 		// Take claims a request; it is claim.Group.Take.
 		Take func(ctx context.Context, ws ident.Workspace, id ident.Request, nonce string) (claim.Result, error)
@@ -60,6 +61,10 @@
 		// Memory is the time for which answers of non-idempotent requests are
 		// remembered. It must be far below the retention of claims.
 		Memory time.Duration
+		// ClaimLife is the time for which a claim may be used, however often it
+		// is handed over. With MaxDeadline added it must be below the retention
+		// of claims: the row may be deleted then and claimed again.
+		ClaimLife time.Duration
 		// MemoryCount and MemoryBytes bound the remembered answers.
 		MemoryCount int
 		MemoryBytes shape.Bytes
@@ -102,6 +107,7 @@
 		MaxDeadline:    10 * time.Minute,
 		DefaultTimeout: 30 * time.Second,
 		Memory:         10 * time.Minute,
+		ClaimLife:      30 * time.Minute,
 		MemoryCount:    20_000,
 		MemoryBytes:    32 * shape.MiB,
 		SlowAfter:      time.Second,
