Send the configuration to peers only when they ask for it

Cause: an instance that learnt a version sent the whole configuration to every peer. Change: exchanges name the version; a peer reads the store at once, and asks for a copy only if the store does not answer. An instance that has just started puts no version in force that is lower than one it has heard of. Figures: by the row size, 115 KB a change and instance instead of 27 times that.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -96,6 +96,7 @@
 			return p.Exchange(ctx, to.Peer, s)
 		},
 		Received: func(s member.State) {
+			k.Hear(s.ConfigVersion)
 			if s.Config != nil {
 				k.Learn(s.Config)
 			}
@@ -111,7 +112,7 @@
 func localState(self member.Info, k *site.Keeper, st *status, sh *shards, routes *route.Table) member.State {
 	c := k.Highest()
 	s := member.State{
-		Instance: self.Instance, ConfigVersion: c.Version, Shards: sh.summaries(),
+		Instance: self.Instance, ConfigVersion: c.Version, Wants: k.Wants(), Shards: sh.summaries(),
 		Ready: st.isReady(), Stopping: st.isStopping(), Leaving: routes.Heard(time.Now()),
 	}
 	if c.Version > 0 {
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -79,7 +79,7 @@
 // Receive takes the state that another instance sent and returns the answer.
 func (s *Service) Receive(from State) State {
 	s.take(from)
-	return s.stateFor(from.ConfigVersion)
+	return s.stateFor(from)
 }
 
 func (s *Service) take(from State) {
@@ -90,10 +90,11 @@
 }
 
 // stateFor returns the local state, with the configuration only if the other
-// side has a lower version.
-func (s *Service) stateFor(theirs int64) State {
+// side has a lower version and cannot read it from the store. At 250 workspaces
+// a configuration has 115 KB, too much to send to everybody with each change.
+func (s *Service) stateFor(theirs State) State {
 	local := s.deps.Local()
-	if local.ConfigVersion <= theirs {
+	if !theirs.Wants || local.ConfigVersion <= theirs.ConfigVersion {
 		local.Config = nil
 	}
 	return local
@@ -110,7 +111,7 @@
 func (s *Service) exchange(ctx context.Context, p Peer) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := s.deps.Exchange(ctx, p.Info, s.stateFor(p.State.ConfigVersion))
+	answer, err := s.deps.Exchange(ctx, p.Info, s.stateFor(p.State))
 	if err != nil {
 		return
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -30,8 +30,10 @@
 	State struct {
 		Instance      ident.Instance
 		ConfigVersion int64
-		// Config is set when the sender has a higher version than it knows
-		// the receiver to have.
+		// Wants asks for the configuration itself: the sender knows of a
+		// higher version and cannot read it from the store.
+		Wants bool
+		// Config is set for a receiver that wants it and has a lower version.
 		Config   *config.Config
 		Shards   []sched.Summary
 		Ready    bool
--- a/internal/peer/form.go
+++ b/internal/peer/form.go
@@ -24,6 +24,7 @@
 		ConfigVersion: s.ConfigVersion,
 		Ready:         s.Ready,
 		Stopping:      s.Stopping,
+		WantsConfig:   s.Wants,
 	}
 	if s.Config != nil {
 		b, err := record.EncodeConfig(s.Config)
@@ -59,6 +60,7 @@
 		ConfigVersion: f.GetConfigVersion(),
 		Ready:         f.GetReady(),
 		Stopping:      f.GetStopping(),
+		Wants:         f.GetWantsConfig(),
 	}
 	if len(f.GetConfig()) > 0 {
 		c, err := record.DecodeConfig(f.GetConfig())
--- a/internal/site/keeper.go
+++ b/internal/site/keeper.go
@@ -31,8 +31,12 @@
 		current *config.Config
 		// highest is the highest version known, which may not be in force yet.
 		highest *config.Config
-		changed chan struct{}
-		wake    chan struct{}
+		// heard is the highest version that a peer has named, and readFailed
+		// tells that the last read from the store failed.
+		heard      int64
+		readFailed bool
+		changed    chan struct{}
+		wake       chan struct{}
 	}
 
 	// ConflictError tells that the version has moved since it was read.
@@ -93,6 +97,32 @@
 		return
 	}
 	k.highest = c
+	k.wakeUp()
+}
+
+// Hear takes the version that a peer has named. A higher one than known here
+// is read from the store at once.
+func (k *Keeper) Hear(version int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version <= k.heard {
+		return
+	}
+	k.heard = version
+	if version > k.highest.Version {
+		k.wakeUp()
+	}
+}
+
+// Wants reports whether a peer must send the configuration itself, because a
+// higher version is known to exist and the store does not answer.
+func (k *Keeper) Wants() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readFailed && k.heard > k.highest.Version
+}
+
+func (k *Keeper) wakeUp() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -150,14 +180,17 @@
 func (k *Keeper) Refresh(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	// Without the store the instance goes on with what its peers told it.
-	_, _ = k.Read(readCtx)
+	_, err := k.Read(readCtx)
 	cancel()
+	k.mu.Lock()
+	k.readFailed = err != nil
+	k.mu.Unlock()
 	k.install(ctx)
 }
 
 func (k *Keeper) install(ctx context.Context) {
 	next := k.Highest()
-	if next.Version <= k.Current().Version {
+	if next.Version <= k.Current().Version || k.isBehind() {
 		return
 	}
 	if k.deps.Offer != nil {
@@ -174,6 +207,15 @@
 	k.deps.Log.Write(event.ConfigInForce, "version", next.Version)
 }
 
+// isBehind reports whether this instance has just started and knows that a
+// higher version than its highest was in force elsewhere. It may itself have
+// been there before its restart, so a lower one would be a step back.
+func (k *Keeper) isBehind() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.current.Version == 0 && k.highest.Version < k.heard
+}
+
 // Apply commits next as the version after base and puts it in force here. The
 // error wraps a *ConflictError if base is not the committed version, and
 // ErrUnknown if the answer of the store was lost for good.
