Find the job of a repeated submission first, and end writes in time

Cause: a submission with a used identifier went through all checks again. A cancellation whose answer was lost was refused as notRun when the store went down next. A submission waited for a lost answer as long as the outage lasted. Ruled out: leaving the queue bound to the caller, who cannot tell a first submission from a repeated one. Giving up a lost commit at once, because most are settled within a second. Change: the filter recall reads the row of the identifier first and compares the whole specification. Cancel remembers a lost answer. Submit and Cancel end after 20 s with unknown. Cost: one read for a submission with an identifier; with reads that take 3 s each, 6 s -> 9 s. Conclusion: no refusal with notRun hides an existing job.

--- a/internal/intake/doc.go
+++ b/internal/intake/doc.go
@@ -1,7 +1,7 @@
 // Package intake takes jobs from callers: it submits, reads, lists and cancels
 // them, whatever front end the calls come through.
 //
-// A submission passes through the filters validate, feasible, bound, assign,
+// A submission passes through the filters validate, recall, assign, bound,
 // record and notify. It is accepted when its row is committed. A caller that
 // submits again with the same request identifier gets the job that the first
 // submission made.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,6 +65,10 @@
 	// cancelTries bounds the attempts of Cancel against concurrent writes of
 	// the shard owner, which are a few in the life of a job.
 	cancelTries = 8
+	// writeLimit bounds the time of a submission or cancellation. A commit
+	// whose answer was lost is settled only when the store is back, which can
+	// take as long as the outage; the caller is told unknown before that.
+	writeLimit = 20 * time.Second
 )
 
 // New returns an intake.
@@ -72,6 +76,7 @@
 	in := &Intake{deps: d}
 	in.submit = pipe.New("submit",
 		pipe.Filter[*passage]{Name: "validate", Do: in.validate},
+		pipe.Filter[*passage]{Name: "recall", Do: in.recall},
 		pipe.Filter[*passage]{Name: "assign", Do: in.assign},
 		pipe.Filter[*passage]{Name: "bound", Do: in.bound},
 		pipe.Filter[*passage]{Name: "record", Do: in.record},
@@ -82,6 +87,8 @@
 
 // Submit stores a job and returns it. The error is a *Refusal.
 func (in *Intake) Submit(ctx context.Context, sub Submission) (jobs.Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeLimit)
+	defer cancel()
 	p := &passage{sub: sub, config: in.deps.Config()}
 	if err := in.submit.Run(ctx, p); err != nil && !p.stored {
 		in.deps.Log.Write(event.JobRefused, "workspace", sub.Workspace, "request", sub.Request, "reason", err.Error())
@@ -143,20 +150,22 @@
 // Cancel asks for the end of a job and returns it. A job that has ended is
 // returned with a refusal.
 func (in *Intake) Cancel(ctx context.Context, w ident.Workspace, id ident.Job) (jobs.Job, error) {
+	ctx, stop := context.WithTimeout(ctx, writeLimit)
+	defer stop()
 	var err error
 	for range cancelTries {
 		j, version, loadErr := in.load(ctx, w, id)
 		if loadErr != nil {
-			return jobs.Job{}, loadErr
+			return jobs.Job{}, doubted(loadErr, err)
 		}
-		if j.State.Ended() {
-			return j, refuse(ReasonEnded, nil, "job %s is %v", id, j.State)
-		}
-		if j.CancelRequested {
+		if j.CancelRequested && !j.State.Ended() {
 			return j, nil
 		}
+		if j.State.Ended() {
+			return j, doubted(refuse(ReasonEnded, nil, "job %s is %v", id, j.State), err)
+		}
 		j.CancelRequested = true
-		if err = in.write(ctx, j, version); err == nil {
+		if err = doubted(in.write(ctx, j, version), err); err == nil {
 			in.deps.Log.Write(event.JobCancel, "workspace", w, "job", id, "domain", j.Domain)
 			in.deps.Notify(j.Domain, w, id)
 			return j, nil
@@ -168,6 +177,15 @@
 	return jobs.Job{}, storeRefusal("cancel", err)
 }
 
+// doubted returns err, or the refusal of an unknown outcome if the answer to an
+// earlier write was lost: that write may have taken effect.
+func doubted(err, earlier error) error {
+	if err == nil || !errors.Is(earlier, store.ErrUncertain) {
+		return err
+	}
+	return storeRefusal("cancel", fmt.Errorf("%w: %w", earlier, err))
+}
+
 func (in *Intake) validate(_ context.Context, p *passage) error {
 	if err := p.sub.Spec.Shape.Check(); err != nil {
 		return refuse(ReasonInvalid, err, "shape")
@@ -184,7 +202,27 @@
 	return nil
 }
 
+// recall takes the job of an earlier submission with the same request
+// identifier, before anything is checked that may have changed since then. A
+// refusal would tell the caller that the job does not exist.
+func (in *Intake) recall(ctx context.Context, p *passage) error {
+	if p.sub.Request == "" {
+		return nil
+	}
+	j, _, err := in.load(ctx, p.sub.Workspace, jobID(p.sub.Request))
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return p.take(j)
+}
+
 func (in *Intake) assign(_ context.Context, p *passage) error {
+	if p.stored {
+		return nil
+	}
 	d, err := sched.Assign(p.sub.Spec, in.deps.Candidates(p.sub.Workspace, p.sub.Spec))
 	switch {
 	case errors.Is(err, sched.ErrNeverFits):
@@ -205,7 +243,7 @@
 // bound is not exact when several instances take jobs at once.
 func (in *Intake) bound(ctx context.Context, p *passage) error {
 	w, ok := p.config.Workspace(p.sub.Workspace)
-	if !ok || w.MaxQueuedJobs <= 0 {
+	if p.stored || !ok || w.MaxQueuedJobs <= 0 {
 		return nil
 	}
 	n := 0
@@ -225,6 +263,9 @@
 }
 
 func (in *Intake) record(ctx context.Context, p *passage) error {
+	if p.stored {
+		return nil
+	}
 	err := in.write(ctx, p.job, 0)
 	switch {
 	case err == nil:
@@ -247,7 +288,12 @@
 	if err != nil {
 		return storeRefusal("submit", fmt.Errorf("%w: %w", store.ErrUncertain, cause))
 	}
-	if j.Spec.Shape != p.sub.Spec.Shape || string(j.Spec.Payload) != string(p.sub.Spec.Payload) {
+	return p.take(j)
+}
+
+// take makes j the job of the submission if both ask for the same work.
+func (p *passage) take(j jobs.Job) error {
+	if !j.Spec.Equal(p.sub.Spec) {
 		return refuse(ReasonReused, nil, "request identifier %s was used for another job", p.sub.Request)
 	}
 	p.job, p.stored = j, true
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"fmt"
 	"time"
 
@@ -105,6 +106,12 @@
 	ErrName = errors.New("unknown name")
 )
 
+// Equal reports whether both ask for the same work.
+func (s Spec) Equal(o Spec) bool {
+	return s.Shape == o.Shape && s.Class == o.Class && s.Guaranteed == o.Guaranteed && s.RunTime == o.RunTime &&
+		bytes.Equal(s.Payload, o.Payload)
+}
+
 // String returns the name used in messages and rows.
 func (s State) String() string { return name(stateNames[:], int(s)) }
 
