Give writes of the client more time than the server takes

Cause: an instance gives up on a write after 20 s; the client ended a try after 10 s and repeated it while the first was still under way. The default time of the command request replaced the timeout of the service. Ruled out: a longer limit for all calls, because a read that hangs should move to another instance soon. Change: Settings.WriteTimeout of 25 s for calls that change something; commands have a minute, request has the timeout of the service. Conclusion: the client no longer repeats a write that its server still settles.

--- a/internal/cmds/online.go
+++ b/internal/cmds/online.go
@@ -28,7 +28,7 @@
 	keyVariable    = "BAOBABQUAY_KEY"
 
 	// defaultTimeout bounds the time of a command, retries included.
-	defaultTimeout = 30 * time.Second
+	defaultTimeout = time.Minute
 )
 
 // Reasons of the server that have their own exit codes.
@@ -52,7 +52,7 @@
 		},
 		{
 			long: "timeout", short: "t", arg: "DURATION",
-			summary: fmt.Sprintf("time for the whole command (default %v; job wait has no limit)", defaultTimeout),
+			summary: fmt.Sprintf("time for the whole command (default %v; none for job wait and request)", defaultTimeout),
 			text:    func(o *options) *string { return &o.timeout },
 		},
 	}
--- a/internal/cmds/request.go
+++ b/internal/cmds/request.go
@@ -35,9 +35,10 @@
 	return &command{
 		name: "request", args: "SERVICE", run: runRequest,
 		summary: "send the standard input to a service and print the body of the answer",
-		details: "The time of --timeout is the deadline of the request. The exit code is 1 if the status of the answer\n" +
-			"is 400 or above. A non-idempotent request runs at most once; after an unknown outcome, repeat it with\n" +
-			"the identifier that the error names to learn what became of it.",
+		details: "The time of --timeout is the deadline of the request; without it the timeout of the service applies.\n" +
+			"The exit code is 1 if the status of the answer is 400 or above. A non-idempotent request runs at most\n" +
+			"once; after an unknown outcome, repeat it with the identifier that the error names to learn what\n" +
+			"became of it.",
 		flags: append(serverFlags(),
 			flag{
 				long: "request-id", arg: "ID", summary: "identifier of the request",
@@ -73,7 +74,7 @@
 		return fmt.Errorf("read standard input: %w", err)
 	}
 	o := c.options.request
-	return c.online(ctx, defaultTimeout, func(ctx context.Context, cl *client.Client) error {
+	return c.online(ctx, 0, func(ctx context.Context, cl *client.Client) error {
 		a, err := cl.Request(ctx, client.Request{
 			Service: service, ID: o.id, NonIdempotent: o.nonIdempotent, Class: o.class, ContentType: o.contentType, Body: body,
 		})
--- a/pkg/client/admin.go
+++ b/pkg/client/admin.go
@@ -57,6 +57,6 @@
 		return none, fmt.Errorf("encode change: %w", err)
 	}
 	return decode[T](c.do(ctx, call{
-		method: http.MethodPut, path: wire.PathAdmin + path, body: b, repeat: repeat, timeout: c.settings.TryTimeout,
+		method: http.MethodPut, path: wire.PathAdmin + path, body: b, repeat: repeat, timeout: c.settings.WriteTimeout,
 	}))
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -26,9 +26,13 @@
 		// retry-after of the server replaces it.
 		FirstPause time.Duration
 		MaxPause   time.Duration
-		// TryTimeout bounds one try of all calls but Request, so that an
-		// instance that does not answer leaves time for another one.
-		TryTimeout time.Duration
+		// TryTimeout and WriteTimeout bound one try of calls that read and of
+		// calls that change something, so that an instance that does not
+		// answer leaves time for another one. A try of Request has the time
+		// of the context. WriteTimeout must be above the 20 s after which an
+		// instance itself gives up on a write.
+		TryTimeout   time.Duration
+		WriteTimeout time.Duration
 		// Dial connects to a server.
 		Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 		// Random returns a number in [0, 1) for the jitter.
@@ -87,10 +91,11 @@
 // DefaultSettings returns the settings in use where none are given.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxTries:   4,
-		FirstPause: 100 * time.Millisecond,
-		MaxPause:   2 * time.Second,
-		TryTimeout: 10 * time.Second,
+		MaxTries:     4,
+		FirstPause:   100 * time.Millisecond,
+		MaxPause:     2 * time.Second,
+		TryTimeout:   10 * time.Second,
+		WriteTimeout: 25 * time.Second,
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			d := net.Dialer{Timeout: dialTimeout}
 			return d.DialContext(ctx, "tcp", to.String())
@@ -114,6 +119,9 @@
 	if s.TryTimeout <= 0 {
 		s.TryTimeout = d.TryTimeout
 	}
+	if s.WriteTimeout <= 0 {
+		s.WriteTimeout = d.WriteTimeout
+	}
 	if s.Dial == nil {
 		s.Dial = d.Dial
 	}
--- a/pkg/client/jobs.go
+++ b/pkg/client/jobs.go
@@ -60,7 +60,7 @@
 	}
 	job, err := decode[wire.Job](c.do(ctx, call{
 		method: http.MethodPost, path: wire.PathJobs, body: body, id: s.RequestID, repeat: true,
-		timeout: c.settings.TryTimeout,
+		timeout: c.settings.WriteTimeout,
 	}))
 	if e := asError(err); e != nil {
 		e.RequestID = s.RequestID
@@ -103,7 +103,7 @@
 // Cancel asks for the end of a job.
 func (c *Client) Cancel(ctx context.Context, id string) (wire.Job, error) {
 	job, err := decode[wire.Job](c.do(ctx, call{
-		method: http.MethodDelete, path: jobPath(id), repeat: true, timeout: c.settings.TryTimeout,
+		method: http.MethodDelete, path: jobPath(id), repeat: true, timeout: c.settings.WriteTimeout,
 	}))
 	return job, wrap("cancel job "+id, err)
 }
