List every mistake in the daemon's settings file

Cause: the first mistake ended the reading, a mistake in name, domain or region did not say which of them, and a misspelt key was ignored. Ruled out: the reader of configurations, whose sections and values are those of package config. Change: parseSettings collects unknown, repeated, missing and malformed sections, keys and lines, each with file, section, key and what is allowed. Two new checks: a port of 0, which nobody can find, and a peer address that is unspecified or the one for callers. Conclusion: one run shows all that has to be corrected.

--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -3,57 +3,223 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"slices"
+	"strings"
 
 	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/inifmt"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
 
-// Settings are what an instance is told when it starts.
-type Settings struct {
-	// Name is the instance's name. The process adds an incarnation to it, so
-	// that a restarted instance is another one to the others.
-	Name   string
-	Domain ident.Domain
-	Region ident.Region
-	// Listen is the address for callers and operators.
-	Listen netip.AddrPort
-	// Peer is the address for other instances.
-	Peer netip.AddrPort
-	// Platform is the address of the platform's services.
-	Platform netip.AddrPort
-}
+type (
+	// Settings are what an instance is told when it starts.
+	Settings struct {
+		// Name is the instance's name. The process adds an incarnation to it,
+		// so that a restarted instance is another one to the others.
+		Name   string
+		Domain ident.Domain
+		Region ident.Region
+		// Listen is the address for callers and operators.
+		Listen netip.AddrPort
+		// Peer is the address for other instances.
+		Peer netip.AddrPort
+		// Platform is the address of the platform's services.
+		Platform netip.AddrPort
+	}
+
+	// settingsReader collects the mistakes of one file.
+	settingsReader struct {
+		file     string
+		section  *ini.Section
+		mistakes inifmt.Mistakes
+	}
 
-// ErrSettings is wrapped by errors about the settings file.
-var ErrSettings = errors.New("invalid settings")
+	// settingKey is a key of the settings file.
+	settingKey struct {
+		name    string
+		allowed string
+	}
+)
 
+// section is the only section of the settings file.
 const section = "instance"
 
-// ReadSettings reads the settings file at path.
+const (
+	nameAllowed    = "letters, digits, dots, underscores and hyphens, the first of them no dot"
+	addressAllowed = "an IP address with a port above 0, such as 10.0.0.1:8080"
+	lineAllowed    = "[section], key = value, or a comment after # or ;"
+	othersAllowed  = addressAllowed + ", that the other instances can reach"
+)
+
+var (
+	// ErrSettings is wrapped by errors about the settings file.
+	ErrSettings = errors.New("invalid settings")
+
+	nameKey     = settingKey{"name", nameAllowed}
+	domainKey   = settingKey{"domain", nameAllowed}
+	regionKey   = settingKey{"region", nameAllowed}
+	listenKey   = settingKey{"listen", addressAllowed}
+	peerKey     = settingKey{"peer", othersAllowed}
+	platformKey = settingKey{"platform", addressAllowed}
+
+	settingKeys = []settingKey{nameKey, domainKey, regionKey, listenKey, peerKey, platformKey}
+
+	// settingsOptions keep repeated sections and keys, so that they are found.
+	settingsOptions = ini.LoadOptions{
+		AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues: true, IgnoreContinuation: true, SpaceBeforeInlineComment: true,
+		KeyValueDelimiters: "=",
+	}
+)
+
+// ReadSettings reads the settings file at path. With mistakes in it the error
+// wraps ErrSettings and inifmt.Mistakes, which has all of them.
 func ReadSettings(path string) (Settings, error) {
-	f, err := ini.Load(path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, mistakes := parseSettings(path, string(text))
+	if len(mistakes) > 0 {
+		return Settings{}, fmt.Errorf("read settings: %w:\n%w", ErrSettings, mistakes)
+	}
+	return s, nil
+}
+
+// parseSettings returns the settings in the text of a file, and its mistakes.
+func parseSettings(file, text string) (Settings, inifmt.Mistakes) {
+	r := &settingsReader{file: file}
+	f, err := ini.LoadSources(settingsOptions, []byte(r.checkLines(text)))
 	if err != nil {
-		return Settings{}, fmt.Errorf("read settings %s: %w", path, err)
+		r.add("", "", strings.TrimSpace(err.Error()), lineAllowed)
+		return Settings{}, r.mistakes
+	}
+	r.checkNames(f)
+	if r.section == nil {
+		r.add(section, "", "the section is missing", "one section ["+section+"]")
+		return Settings{}, r.mistakes
+	}
+	s := Settings{
+		Name:     r.name(nameKey),
+		Domain:   ident.Domain(r.name(domainKey)),
+		Region:   ident.Region(r.name(regionKey)),
+		Listen:   r.address(listenKey),
+		Peer:     r.address(peerKey),
+		Platform: r.address(platformKey),
 	}
-	s := f.Section(section)
-	set := Settings{
-		Name:   s.Key("name").String(),
-		Domain: ident.Domain(s.Key("domain").String()),
-		Region: ident.Region(s.Key("region").String()),
+	if s.Peer.IsValid() && s.Peer.Addr().IsUnspecified() {
+		r.add(section, peerKey.name, fmt.Sprintf("%v is no address of one instance", s.Peer), peerKey.allowed)
 	}
-	for _, n := range []string{set.Name, string(set.Domain), string(set.Region)} {
-		if err := ident.Check(n); err != nil {
-			return Settings{}, fmt.Errorf("%s: name, domain and region of [%s]: %w: %w", path, section, ErrSettings, err)
+	if s.Peer.IsValid() && s.Peer == s.Listen {
+		r.add(section, peerKey.name, fmt.Sprintf("%v is the address for callers too", s.Peer), "an address of its own")
+	}
+	return s, r.mistakes
+}
+
+// checkLines returns the text without the lines that are no INI, so that they
+// do not hide other mistakes.
+func (r *settingsReader) checkLines(text string) string {
+	lines := strings.Split(text, "\n")
+	for i, line := range lines {
+		line = strings.TrimSpace(line)
+		isHeader := strings.HasPrefix(line, "[")
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+		case isHeader && strings.LastIndexByte(line, ']') > 1:
+		case !isHeader && strings.IndexByte(line, '=') > 0:
+		default:
+			r.mistakes = append(r.mistakes, inifmt.Mistake{
+				Place: inifmt.Place{File: r.file, Line: i + 1}, Detail: "a line that is no INI", Allowed: lineAllowed,
+			})
+			lines[i] = ""
 		}
 	}
-	addresses := []struct {
-		key string
-		to  *netip.AddrPort
-	}{{"listen", &set.Listen}, {"peer", &set.Peer}, {"platform", &set.Platform}}
-	for _, a := range addresses {
-		if *a.to, err = netip.ParseAddrPort(s.Key(a.key).String()); err != nil {
-			return Settings{}, fmt.Errorf("%s: %s of [%s]: %w: %w", path, a.key, section, ErrSettings, err)
+	return strings.Join(lines, "\n")
+}
+
+// checkNames finds the section and adds what is unknown or stands twice.
+func (r *settingsReader) checkNames(f *ini.File) {
+	for _, s := range f.Sections() {
+		switch {
+		case s.Name() == ini.DefaultSection:
+			for _, k := range s.Keys() {
+				r.add("", k.Name(), "the key stands outside of a section", "keys below ["+section+"]")
+			}
+			continue
+		case s.Name() != section:
+			r.add(s.Name(), "", "unknown section", "["+section+"]")
+			continue
+		case r.section != nil:
+			r.add(section, "", "the section stands twice", "one section ["+section+"]")
+			continue
+		}
+		r.section = s
+		r.checkKeys(s)
+	}
+}
+
+func (r *settingsReader) checkKeys(s *ini.Section) {
+	for _, k := range s.Keys() {
+		known := slices.ContainsFunc(settingKeys, func(known settingKey) bool { return known.name == k.Name() })
+		switch {
+		case !known:
+			r.add(section, k.Name(), "unknown key", keysAllowed())
+		case len(k.ValueWithShadows()) > 1:
+			r.add(section, k.Name(), fmt.Sprintf("the key stands %d times", len(k.ValueWithShadows())), "each key once")
 		}
 	}
-	return set, nil
+}
+
+// value returns the text of a key. It adds a mistake and returns "" if the key
+// is missing or empty.
+func (r *settingsReader) value(k settingKey) string {
+	if !r.section.HasKey(k.name) {
+		r.add(section, k.name, "the key is missing", k.allowed)
+		return ""
+	}
+	text := r.section.Key(k.name).String()
+	if text == "" {
+		r.add(section, k.name, "the value is empty", k.allowed)
+	}
+	return text
+}
+
+func (r *settingsReader) name(k settingKey) string {
+	text := r.value(k)
+	if text == "" {
+		return ""
+	}
+	if err := ident.Check(text); err != nil {
+		r.add(section, k.name, err.Error(), k.allowed)
+	}
+	return text
+}
+
+func (r *settingsReader) address(k settingKey) netip.AddrPort {
+	text := r.value(k)
+	if text == "" {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 {
+		r.add(section, k.name, fmt.Sprintf("%q is no such address", text), k.allowed)
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+func (r *settingsReader) add(section, key, detail, allowed string) {
+	r.mistakes = append(r.mistakes, inifmt.Mistake{
+		Place: inifmt.Place{File: r.file}, Section: section, Key: key, Detail: detail, Allowed: allowed,
+	})
+}
+
+func keysAllowed() string {
+	var names []string
+	for _, k := range settingKeys {
+		names = append(names, k.name)
+	}
+	return strings.Join(names, ", ")
 }
