Answer notFound for a domain that the last configuration lacks

Cause: the front end looked the domain up in the configuration in force, the change itself in the committed one. A domain removed in between was answered as storeUnavailable, which asks the caller to try again for ever. The events domainOut and domainIn were in the catalogue and never written. Ruled out: keeping both checks, because the second one alone decides. Change: Admin.SetDomain wraps entry.ErrNoDomain, which is answered as notFound. The daemon writes the events with domain and version. Conclusion: one check against the committed configuration.

--- a/internal/cmds/online_test.go
+++ b/internal/cmds/online_test.go
@@ -116,7 +116,10 @@
 }
 
 func (r *rig) setDomain(ctx context.Context, d ident.Domain, in bool) (*config.Config, error) {
-	next, _ := r.keeper.Current().WithDomain(d, in)
+	next, ok := r.keeper.Current().WithDomain(d, in)
+	if !ok {
+		return nil, fmt.Errorf("failure domain %s: %w", d, entry.ErrNoDomain)
+	}
 	return r.keeper.Apply(ctx, r.keeper.Current().Version, next)
 }
 
--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -58,8 +58,6 @@
 	stopSlack = 5 * time.Second
 )
 
-var errNoDomain = errors.New("no such failure domain")
-
 // New returns an instance that has not started.
 func New(s Settings, l logr.Logger) *fx.App {
 	return fx.New(
@@ -96,7 +94,7 @@
 			Parse:  parseConfig,
 			Apply:  k.Apply,
 			SetDomain: func(ctx context.Context, d ident.Domain, in bool) (*config.Config, error) {
-				return setDomain(ctx, k, d, in)
+				return setDomain(ctx, k, log, d, in)
 			},
 			Status:  func() wire.Status { return siteStatus(self, k, st, m, sh, ro) },
 			Explain: func(j jobs.Job) string { return explainJob(sh, j) },
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/entry"
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/member"
@@ -114,7 +117,9 @@
 // setDomain takes a failure domain out of service or brings it back. An
 // operator names a state and not a change, so a conflict with another change
 // is tried again on the new version.
-func setDomain(ctx context.Context, k *site.Keeper, d ident.Domain, inService bool) (*config.Config, error) {
+func setDomain(
+	ctx context.Context, k *site.Keeper, log event.Log, d ident.Domain, inService bool,
+) (*config.Config, error) {
 	for {
 		c, err := k.Read(ctx)
 		if err != nil {
@@ -122,11 +127,20 @@
 		}
 		next, ok := c.WithDomain(d, inService)
 		if !ok {
-			return nil, errNoDomain
+			return nil, fmt.Errorf("failure domain %s: %w", d, entry.ErrNoDomain)
 		}
 		accepted, err := k.Apply(ctx, c.Version, next)
-		if !isConflict(err) {
-			return accepted, err
+		switch {
+		case isConflict(err):
+			continue
+		case err != nil:
+			return nil, err
+		}
+		id := event.DomainOut
+		if inService {
+			id = event.DomainIn
 		}
+		log.Write(id, "domain", d, "version", accepted.Version)
+		return accepted, nil
 	}
 }
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -23,6 +23,10 @@
 // their guarantees take less than 200 KB.
 const maxConfig = 4 << 20
 
+// ErrNoDomain is wrapped by the error of Admin.SetDomain if the configuration
+// has no such failure domain.
+var ErrNoDomain = errors.New("no such failure domain")
+
 func (f *front) addAdmin(r *mux.Router) {
 	r.HandleFunc("/config", f.operator(f.showConfig)).Methods(http.MethodGet)
 	r.HandleFunc("/config", f.operator(f.applyConfig)).Methods(http.MethodPut)
@@ -81,12 +85,6 @@
 		return
 	}
 	name := ident.Domain(mux.Vars(r)["name"])
-	if _, ok := f.deps.Config().Domain(name); !ok {
-		writeError(w, http.StatusNotFound, wire.Error{
-			Outcome: wire.NotRun, Reason: string(intake.ReasonNotFound), Detail: "no such failure domain: " + string(name),
-		})
-		return
-	}
 	accepted, err := f.deps.Admin.SetDomain(r.Context(), name, *change.InService)
 	f.writeChange(w, accepted, err)
 }
@@ -97,6 +95,10 @@
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, wire.Accepted{Version: accepted.Version})
+	case errors.Is(err, ErrNoDomain):
+		writeError(w, http.StatusNotFound, wire.Error{
+			Outcome: wire.NotRun, Reason: string(intake.ReasonNotFound), Detail: err.Error(),
+		})
 	case errors.As(err, &conflict):
 		writeError(w, http.StatusConflict, wire.Error{
 			Outcome: wire.NotRun, Reason: reasonConflict, Detail: err.Error(),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -77,8 +77,13 @@
 		}),
 		Admin: Admin{
 			Render: inifmt.Write, Parse: parseText, Apply: applied,
-			SetDomain: func(ctx context.Context, _ ident.Domain, _ bool) (*config.Config, error) { return applied(ctx, 1, c) },
-			Status:    func() wire.Status { return wire.Status{} }, Explain: func(jobs.Job) string { return "" },
+			SetDomain: func(ctx context.Context, d ident.Domain, _ bool) (*config.Config, error) {
+				if _, ok := c.Domain(d); !ok {
+					return nil, fmt.Errorf("failure domain %s: %w", d, ErrNoDomain)
+				}
+				return applied(ctx, 1, c)
+			},
+			Status: func() wire.Status { return wire.Status{} }, Explain: func(jobs.Job) string { return "" },
 		},
 	})
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -41,6 +41,7 @@
 		// Apply commits a configuration in place of the version base.
 		Apply func(ctx context.Context, base int64, c *config.Config) (*config.Config, error)
 		// SetDomain takes a failure domain out of service or brings it back.
+		// The error wraps ErrNoDomain if there is no such domain.
 		SetDomain func(ctx context.Context, d ident.Domain, inService bool) (*config.Config, error)
 		Status    func() wire.Status
 		// Explain returns why a job that has not ended waits.
