--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -110,7 +110,7 @@
 		}
 	}
 	if b.Len() == 0 {
-		return "guarantees: all met\n"
+		return "guarantees: no owner reports one that is not met\n"
 	}
 	return b.String()
 }
