End the waits for jobs when a planned stop begins

Cause: a call that waits for a job lasts up to a minute, as long as the whole planned stop by default. Ruled out: a shorter bound for waits, because callers would ask more often all the time. Change: Wait returns the job as it is when the stop begins. The client goes on at another instance. The stop of whole processes was not measured. Conclusion: waits no longer hold up a planned stop.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -162,10 +162,11 @@
 }
 
 func newIntake(
-	t store.Table, o store.Objects, k *site.Keeper, sh *shards, log event.Log,
+	t store.Table, o store.Objects, k *site.Keeper, sh *shards, st *status, log event.Log,
 ) *intake.Intake {
 	return intake.New(intake.Deps{
-		Table: t, Objects: o, Config: k.Current, Candidates: sh.candidates, Notify: sh.notify, Log: log,
+		Table: t, Objects: o, Config: k.Current, Candidates: sh.candidates, Notify: sh.notify,
+		Stopping: st.stop, Log: log,
 	})
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -22,12 +22,14 @@
 	mu       sync.Mutex
 	ready    bool
 	stopping bool
+	// stop is closed when stopping is set.
+	stop chan struct{}
 }
 
 // explainTimeout bounds the question to the owner of a shard.
 const explainTimeout = time.Second
 
-func newStatus() *status { return &status{} }
+func newStatus() *status { return &status{stop: make(chan struct{})} }
 
 func (s *status) isReady() bool {
 	s.mu.Lock()
@@ -50,7 +52,10 @@
 func (s *status) setStopping() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	if !s.stopping {
+		s.stopping = true
+		close(s.stop)
+	}
 }
 
 // siteStatus returns the state of the site as this instance knows it.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,7 +29,10 @@
 		Candidates func(w ident.Workspace, s jobs.Spec) []sched.Candidate
 		// Notify tells the owner of a shard that its queue changed.
 		Notify func(d ident.Domain, w ident.Workspace, j ident.Job)
-		Log    event.Log
+		// Stopping is closed when the planned stop of the instance begins. It
+		// may be nil.
+		Stopping <-chan struct{}
+		Log      event.Log
 	}
 
 	// Submission is a job that a caller asks for.
@@ -113,7 +116,8 @@
 	return j, nil
 }
 
-// Wait returns the job when it has ended, or as it is when d has passed.
+// Wait returns the job when it has ended, or as it is when d has passed or the
+// instance begins to stop. A caller that waits on is answered by another one.
 func (in *Intake) Wait(ctx context.Context, w ident.Workspace, id ident.Job, d time.Duration) (jobs.Job, error) {
 	deadline := time.Now().Add(d)
 	for period := pollFirst; ; period = min(2*period, pollLast) {
@@ -124,6 +128,8 @@
 		select {
 		case <-ctx.Done():
 			return j, nil
+		case <-in.deps.Stopping:
+			return j, nil
 		case <-time.After(min(period, time.Until(deadline))):
 		}
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,6 +29,7 @@
 	table *fakes.Table
 	in    *Intake
 	out   bool
+	stop  chan struct{}
 }
 
 // script is what a rig is made to do, one word a step.
@@ -46,10 +47,11 @@
 	{"a job that has ended or never was", "cancel:a read:a submit:a end:a cancel:a"},
 	{"a shape that never fits", "submit:large"},
 	{"the end of a wait", "submit:a wait:a end:a wait:a"},
+	{"a wait at an instance that stops", "submit:a stop wait:a"},
 }
 
 func newRig() *rig {
-	r := &rig{table: fakes.NewTable()}
+	r := &rig{table: fakes.NewTable(), stop: make(chan struct{})}
 	c := &config.Config{
 		Domains:    []config.Domain{{Name: "ub1", InService: true}},
 		Workspaces: []config.Workspace{{Name: "foundryA", MaxQueuedJobs: 1}},
@@ -62,7 +64,8 @@
 			workers := []fleet.Worker{{Spec: worker.Spec{ID: "w1", Domain: "ub1", Capacity: capacity}, Free: capacity}}
 			return []sched.Candidate{{Summary: sched.Summary{Domain: "ub1"}, InService: !r.out, Workers: workers}}
 		},
-		Notify: func(ident.Domain, ident.Workspace, ident.Job) {},
+		Notify:   func(ident.Domain, ident.Workspace, ident.Job) {},
+		Stopping: r.stop,
 	})
 	return r
 }
@@ -73,6 +76,9 @@
 	switch verb {
 	case "out":
 		r.out = true
+	case "stop":
+		// The wait has begun when the stop does.
+		time.AfterFunc(3*time.Second, func() { close(r.stop) })
 	case "down":
 		r.table.Faults.Set(fakes.Fault{Kind: fakes.Down})
 	case "lost":
