--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -64,8 +64,6 @@
 	sweepEvery = time.Hour
 )
 
-var errNoDomain = errors.New("no such failure domain")
-
 // New returns an instance that has not started.
 func New(s Settings, l logr.Logger) *fx.App {
 	return fx.New(
@@ -104,7 +102,7 @@
 				return k.Apply(ctx, base, quota.AssignHomes(c, ro.AllWorkers()))
 			},
 			SetDomain: func(ctx context.Context, d ident.Domain, in bool) (*config.Config, error) {
-				return setDomain(ctx, k, ro, d, in)
+				return setDomain(ctx, k, ro, log, d, in)
 			},
 			Status:  func() wire.Status { return siteStatus(self, k, st, m, sh, ro) },
 			Explain: func(j jobs.Job) string { return explainJob(sh, j) },
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -169,10 +169,11 @@
 func newRoutes() *route.Table { return route.New(route.DefaultSettings()) }
 
 func newIntake(
-	t store.Table, o store.Objects, k *site.Keeper, sh *shards, log event.Log,
+	t store.Table, o store.Objects, k *site.Keeper, sh *shards, st *status, log event.Log,
 ) *intake.Intake {
 	return intake.New(intake.Deps{
-		Table: t, Objects: o, Config: k.Current, Candidates: sh.candidates, Notify: sh.notify, Log: log,
+		Table: t, Objects: o, Config: k.Current, Candidates: sh.candidates, Notify: sh.notify,
+		Stopping: st.stop, Log: log,
 	})
 }
 
