Compare the request path with a plain forwarding handler

Ruled out: a Go benchmark in one process, where the load and the endpoints share the processors with the handler and hide its cost.

Change: make bench-requests runs one instance and the plain handler as processes with two processors each, sends load to one of them at a time in rounds that alternate, and prints the ratio of the medians.

--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 KNOWN_RED     := $(shell sed -n 's/^test: *\([A-Za-z0-9_\/]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP          := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: help build test lint format proto demo bench
+.PHONY: help build test lint format proto demo bench bench-requests
 
 help: ## list the targets
-	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
 build: ## build the programs into bin/
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -34,6 +34,9 @@
 demo: build ## start stand-ins and instances on loopback, run the examples and check the promises
 	@scripts/demo
 
+bench-requests: build ## compare the request path with a plain forwarding handler
+	@scripts/perf
+
 proto: ## generate the messages between instances; needs protoc, protoc-gen-go and protoc-gen-connect-go
 	cd internal/peerv1 && protoc --go_out=. --go_opt=paths=source_relative \
 		--connect-go_out=. --connect-go_opt=paths=source_relative,package_suffix= peer.proto
