Use a new number after an attempt was aborted before its record

Cause: when a reservation failed on one worker, the owner stopped the attempt on the others, which refuse its number from then on. The job row still had the lower number, so each later placement used the refused one and the job waited for as long as the workers remembered it (1 h).

Ruled out: committing a row for each aborted attempt, which costs a store write for every failed reservation; letting workers forget an aborted attempt, which would let a late start run.

Change: the shard remembers the highest aborted number of a job and goes on above it. After a takeover the number is unknown; a worker's refusal then aborts it once more.

--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -70,7 +70,7 @@
 		s.Wake()
 		return
 	}
-	next, err := jobs.Begin(h.job, r.lease.Epoch, a.Slots, r.now)
+	next, err := jobs.Begin(s.afterAborted(h.job), r.lease.Epoch, a.Slots, r.now)
 	if err != nil {
 		return
 	}
@@ -99,9 +99,22 @@
 func (s *Shard) abort(ctx context.Context, r *round, j jobs.Job, cause error) {
 	s.deps.Log.Write(event.JobAborted, "workspace", j.Workspace, "job", j.ID,
 		"domain", s.deps.Domain, "attempt", j.Attempt, "reason", cause.Error())
+	s.mu.Lock()
+	s.aborted[keyOf(j)] = max(s.aborted[keyOf(j)], j.Attempt)
+	s.mu.Unlock()
 	s.stopAll(ctx, r, j)
 }
 
+// afterAborted returns j with the highest attempt that must not be used again.
+// An attempt that an earlier owner aborted is unknown here; a worker refuses
+// its number, which aborts it here as well.
+func (s *Shard) afterAborted(j jobs.Job) jobs.Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.Attempt = max(j.Attempt, s.aborted[keyOf(j)])
+	return j
+}
+
 // onAll calls f for all slots at once and returns the first error.
 func (s *Shard) onAll(j jobs.Job, f func(w ident.Worker, first, members int) error) error {
 	errs := make([]error, len(j.Slots))
--- a/internal/owner/path_test.go
+++ b/internal/owner/path_test.go
@@ -60,6 +60,24 @@
 			j := g.submit("a", 3, `{"runFor":"5s","result":"proof"}`)
 			return []jobs.Job{g.wait(j.ID, 60*time.Second)}
 		}},
+		{"reserveLost", func(g *rig) []jobs.Job {
+			// A reservation that fails ends the attempt on the other workers,
+			// which then refuse its number for good.
+			g.start("i1", 0)
+			g.workers[1].Faults.Set(fakes.Fault{Kind: fakes.Down, Next: 1})
+			j := g.submit("a", 3, `{"runFor":"5s","result":"proof"}`)
+			return []jobs.Job{g.wait(j.ID, 60*time.Second)}
+		}},
+		{"reserveLostOwnerDies", func(g *rig) []jobs.Job {
+			// The next owner does not know which numbers were aborted.
+			first := g.start("i1", 0)
+			g.start("i2", 1)
+			g.workers[1].Faults.Set(fakes.Fault{Kind: fakes.Down, Next: 1})
+			j := g.submit("a", 3, `{"runFor":"5s","result":"proof"}`)
+			time.Sleep(650 * time.Millisecond)
+			first.cancel()
+			return []jobs.Job{g.wait(j.ID, 60*time.Second)}
+		}},
 		{"cancelled", func(g *rig) []jobs.Job {
 			g.start("i1", 0)
 			j := g.submit("a", 3, `{"runFor":"1h"}`)
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -102,6 +102,7 @@
 		if !present[k] {
 			delete(s.jobs, k)
 			delete(s.waits, k)
+			delete(s.aborted, k)
 		}
 	}
 }
@@ -155,4 +156,5 @@
 	defer s.mu.Unlock()
 	delete(s.jobs, k)
 	delete(s.waits, k)
+	delete(s.aborted, k)
 }
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -53,6 +53,9 @@
 		workers map[ident.Worker]*tracked
 		jobs    map[jobKey]held
 		waits   map[jobKey]string
+		// aborted is the highest attempt of a job that was given up before its
+		// start was recorded. Workers refuse its number from then on.
+		aborted map[jobKey]int
 		summary sched.Summary
 		ready   bool
 		storeUp bool
@@ -202,6 +205,7 @@
 	s.workers = make(map[ident.Worker]*tracked)
 	s.jobs = make(map[jobKey]held)
 	s.waits = make(map[jobKey]string)
+	s.aborted = make(map[jobKey]int)
 	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
 	s.ready = false
 	s.outrank = time.Time{}
