Add guards for service, leases and versions as seams of tests

Cause: the fault matrix turns each promise's guard off to show that its checker can fail. A worker's rules on the state of the domain and on the end of a lease, and a keeper's rule that only higher versions replace the present one, had no field.

Change: worker.Guards gets InService and Lapsed, site.Deps gets Guards with Newer, in the style of the fields that exist.

Ruled out: a separate constructor for tests, which would test another assembly than the product's.

Before and after: the output of the tests of worker and fakes is the same. TestMachineGuards, TestMachineGuardsNoticed, TestMachineRepeats and TestFakes/workerRuns fail in both, because their starts echo no boot and their golden files have memory without a unit; they are left as they are. The tests of owner pass.

Conclusion: no change of behaviour was seen.

--- a/internal/site/keeper.go
+++ b/internal/site/keeper.go
@@ -21,6 +21,15 @@
 		// force. It returns after at most one exchange timeout.
 		Offer func(ctx context.Context)
 		Log   event.Log
+		// Guards is set by NewKeeper where fields are nil.
+		Guards Guards
+	}
+
+	// Guards are the checks that keep the configuration from reverting, as
+	// seams for tests that turn one of them off.
+	Guards struct {
+		// Newer tells whether version next may replace version present.
+		Newer func(present, next int64) bool
 	}
 
 	// Keeper holds the configuration in force. It is safe for concurrent use.
@@ -57,6 +66,9 @@
 // NewKeeper returns a keeper with an empty configuration of version 0.
 func NewKeeper(d Deps) *Keeper {
 	empty := &config.Config{Limits: config.DefaultLimits()}
+	if d.Guards.Newer == nil {
+		d.Guards.Newer = func(present, next int64) bool { return next > present }
+	}
 	return &Keeper{
 		deps: d, current: empty, highest: empty,
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
@@ -89,7 +101,7 @@
 func (k *Keeper) Learn(c *config.Config) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.Version <= k.highest.Version {
+	if !k.deps.Guards.Newer(k.highest.Version, c.Version) {
 		return
 	}
 	k.highest = c
@@ -134,7 +146,7 @@
 
 func (k *Keeper) install(ctx context.Context) {
 	next := k.Highest()
-	if next.Version <= k.Current().Version {
+	if !k.deps.Guards.Newer(k.Current().Version, next.Version) {
 		return
 	}
 	if k.deps.Offer != nil {
@@ -142,7 +154,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if next.Version <= k.current.Version {
+	if !k.deps.Guards.Newer(k.current.Version, next.Version) {
 		return
 	}
 	k.current = next
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -48,6 +48,12 @@
 		Permit func(age time.Duration) bool
 		// Ended reports whether a start of an ended attempt is refused.
 		Ended func(a Attempt, ended bool) bool
+		// InService reports whether a start is accepted when the domain's
+		// state in the sender's configuration is in.
+		InService func(in bool) bool
+		// Lapsed reports whether a lease or reservation until the given
+		// instant has ended at now.
+		Lapsed func(until, now time.Time) bool
 	}
 
 	// Program is the behaviour of an attempt.
@@ -110,8 +116,10 @@
 			Epoch:  func(seen, got int64) bool { return got >= seen },
 			Config: func(seen, got int64) bool { return got >= seen },
 			// A negative age is a tick of an earlier process of this worker.
-			Permit: func(age time.Duration) bool { return age >= 0 && age <= MaxPermitAge },
-			Ended:  func(_ Attempt, ended bool) bool { return ended },
+			Permit:    func(age time.Duration) bool { return age >= 0 && age <= MaxPermitAge },
+			Ended:     func(_ Attempt, ended bool) bool { return ended },
+			InService: func(in bool) bool { return in },
+			Lapsed:    func(until, now time.Time) bool { return !now.Before(until) },
 		},
 		spec:     s,
 		boot:     uuid.NewString(),
@@ -239,7 +247,7 @@
 	if !m.Guards.Config(m.config, s.Config) {
 		return refuse(ReasonConfig, "configuration %d, seen %d", s.Config, m.config)
 	}
-	if !s.InService {
+	if !m.Guards.InService(s.InService) {
 		return refuse(ReasonDomain, "domain %s is out of service", m.spec.Domain)
 	}
 	if _, was := m.ended[s.Attempt]; m.Guards.Ended(s.Attempt, was) {
@@ -340,7 +348,7 @@
 func (m *Machine) settle(now time.Time) {
 	var ends []Entry
 	for a, t := range m.attempts {
-		if e, at := t.settle(now); e != "" {
+		if e, at := t.settle(now, m.Guards.Lapsed(t.until, now)); e != "" {
 			ends = append(ends, Entry{At: at, Attempt: a, Event: e, Members: t.members})
 			m.ended[a] = at
 		}
@@ -377,12 +385,12 @@
 // settle brings the state up to now. It returns the event if there was one and
 // the instant at which it occurred, which may be long before now: a machine
 // looks at its attempts only when it is called.
-func (t *attempt) settle(now time.Time) (Event, time.Time) {
+func (t *attempt) settle(now time.Time, lapsed bool) (Event, time.Time) {
 	if !t.state.Holds() {
 		return "", now
 	}
 	at := now
-	if t.until.Before(now) {
+	if lapsed {
 		at = t.until
 	}
 	if t.state == Running {
@@ -399,7 +407,7 @@
 			return EventDone, at
 		}
 	}
-	if !now.Before(t.until) {
+	if lapsed {
 		t.freeze(at, Lapsed, "lease ended without a renewal")
 		return EventLapsed, at
 	}
