--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -57,6 +57,9 @@
 		head    int64
 		scanned bool
 		waits   map[jobKey]string
+		// aborted is the highest attempt of a job that was given up before its
+		// start was recorded. Workers refuse its number from then on.
+		aborted map[jobKey]int
 		summary sched.Summary
 		ready   bool
 		storeUp bool
@@ -246,6 +249,7 @@
 	s.jobs = make(map[jobKey]held)
 	s.head, s.scanned = 0, false
 	s.waits = make(map[jobKey]string)
+	s.aborted = make(map[jobKey]int)
 	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
 	s.ready = false
 	s.outrank = time.Time{}
