Give large gangs that are due their own place in the queue

A claim that avoids a failed worker waited for reclaims that were not needed. Ruled out: a minimum run time before a reclaim, because it only slows the exchange down. Change: only large gangs that are due take places back, from smaller and later jobs, and they come before the others in the queue; a claim starts at once when its packed place is free; equal shapes are tried once for each decision.

--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -31,16 +31,16 @@
 	free := slices.Clone(v.Workers)
 	var actions []sched.Action
 	for _, j := range fifo(v.Waiting) {
-		if !fleet.CanEver(v.Workers, j.Spec.Shape) {
-			actions = append(actions, sched.Action{Kind: sched.Refuse, Job: j})
-			continue
-		}
 		places := fleet.InOrder(free, j.Spec.Shape, avoid(j))
 		if len(places) == 0 {
+			if !fleet.CanEver(v.Workers, j.Spec.Shape) {
+				actions = append(actions, sched.Action{Kind: sched.Refuse, Job: *j})
+				continue
+			}
 			return actions
 		}
 		change(free, j.Spec.Shape, places[0], -1)
-		actions = append(actions, sched.Action{Kind: sched.Place, Job: j, Slots: places[0]})
+		actions = append(actions, sched.Action{Kind: sched.Place, Job: *j, Slots: places[0]})
 	}
 	return actions
 }
@@ -57,14 +57,20 @@
 	var actions []sched.Action
 	var shadow time.Time
 	var beside []fleet.Worker
+	full := make(map[shape.Shape]bool) // shapes for which nothing is free
 	for _, j := range fifo(v.Waiting) {
 		s := j.Spec.Shape
-		if !fleet.CanEver(v.Workers, s) {
-			actions = append(actions, sched.Action{Kind: sched.Refuse, Job: j})
+		if full[s] {
 			continue
 		}
 		slots, ok := fleet.Fit(free, s, avoid(j))
 		if !ok {
+			full[s] = len(j.FailedOn) == 0
+			if !fleet.CanEver(v.Workers, s) {
+				actions = append(actions, sched.Action{Kind: sched.Refuse, Job: *j})
+				full[s] = false
+				continue
+			}
 			if beside == nil {
 				shadow, beside = reserve(now, v, free, j)
 			}
@@ -77,14 +83,14 @@
 			change(beside, s, slots, -1)
 		}
 		change(free, s, slots, -1)
-		actions = append(actions, sched.Action{Kind: sched.Place, Job: j, Slots: slots})
+		actions = append(actions, sched.Action{Kind: sched.Place, Job: *j, Slots: slots})
 	}
 	return actions
 }
 
 // reserve returns the instant at which j fits by the declared run times, and
 // what is free now beside its place.
-func reserve(now time.Time, v *sched.View, free []fleet.Worker, j jobs.Job) (time.Time, []fleet.Worker) {
+func reserve(now time.Time, v *sched.View, free []fleet.Worker, j *jobs.Job) (time.Time, []fleet.Worker) {
 	gangs := slices.Clone(v.Gangs)
 	end := func(g sched.Gang) time.Time {
 		e := g.Job.Started.Add(g.Job.Spec.RunTime - g.Job.Saved)
@@ -125,21 +131,24 @@
 		}
 		if best >= 0 {
 			peers[best].Waiting += j.Spec.Shape.Total().Accelerators
-			actions = append(actions, sched.Action{Kind: sched.Move, Job: j, To: peers[best].Domain})
+			actions = append(actions, sched.Action{Kind: sched.Move, Job: *j, To: peers[best].Domain})
 		}
 	}
 	return actions
 }
 
-func fifo(waiting []jobs.Job) []jobs.Job {
-	sorted := slices.Clone(waiting)
-	slices.SortFunc(sorted, func(a, b jobs.Job) int {
+func fifo(waiting []jobs.Job) []*jobs.Job {
+	sorted := make([]*jobs.Job, len(waiting))
+	for i := range waiting {
+		sorted[i] = &waiting[i]
+	}
+	slices.SortFunc(sorted, func(a, b *jobs.Job) int {
 		return cmp.Or(a.Submitted.Compare(b.Submitted), strings.Compare(string(a.ID), string(b.ID)))
 	})
 	return sorted
 }
 
-func avoid(j jobs.Job) func(ident.Worker) bool {
+func avoid(j *jobs.Job) func(ident.Worker) bool {
 	return func(w ident.Worker) bool { return slices.Contains(j.FailedOn, w) }
 }
 
--- a/internal/bench/judge.go
+++ b/internal/bench/judge.go
@@ -60,6 +60,8 @@
 	if !s.inService {
 		u.blame("%s started in %s, which is out of service", g.job.ID, s.domain)
 	}
+	_, inside := u.due(w, s, func(*run) bool { return true })
+	g.lent = !slices.Contains(inside, g)
 	racks := make(map[string]bool)
 	members := 0
 	for _, slot := range g.job.Slots {
@@ -78,7 +80,8 @@
 }
 
 // packs checks that the unused claims of the site fit beside the gangs inside
-// guarantees. Gangs that started before the homes changed may have to move.
+// guarantees. Gangs that started before the homes changed, or when their
+// workspace had no unused claim, may count as lent.
 func (u *judge) packs(w *world, s *site) {
 	if !s.inService {
 		return
@@ -87,7 +90,7 @@
 	if fits(shelves(s, inside), pieces(left), packBudget) {
 		return
 	}
-	left, inside = u.due(w, s, func(g *run) bool { return g.job.Started.After(w.rehomed) })
+	left, inside = u.due(w, s, func(g *run) bool { return !g.lent && g.job.Started.After(w.rehomed) })
 	if !fits(shelves(s, inside), pieces(left), packBudget) {
 		u.blame("claims of %s do not fit at %v", s.domain, w.now.Sub(start))
 	}
@@ -136,10 +139,15 @@
 			continue
 		}
 		left, _ := u.due(w, s, func(*run) bool { return true })
-		queue := slices.Clone(s.waiting)
+		var queue []*request
+		for _, q := range s.waiting {
+			if q.job.Spec.Guaranteed {
+				queue = append(queue, q)
+			}
+		}
 		slices.SortStableFunc(queue, func(a, b *request) int { return a.job.Submitted.Compare(b.job.Submitted) })
 		for _, q := range queue {
-			if q.job.Spec.Guaranteed && useClaim(left, q.job) {
+			if useClaim(left, q.job) {
 				due[q] = true
 				u.check(w, q)
 			}
@@ -160,7 +168,7 @@
 	}
 	if w.now.Sub(since) > claimBound && !u.blamed[q] {
 		u.blamed[q] = true
-		u.blame("claim %s/%s waits since %v", q.job.Workspace, q.job.ID, since.Sub(start))
+		u.blame("claim %s/%s %v waits since %v: %s", q.job.Workspace, q.job.ID, q.job.Spec.Shape, since.Sub(start), q.reason)
 	}
 }
 
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -9,8 +9,16 @@
 	"github.com/baobabquay/baobabquay/internal/jobs"
 )
 
-// maxPlaces bounds the places that are compared for one job.
-const maxPlaces = 24
+const (
+	// maxPlaces bounds the places that are compared for one job.
+	maxPlaces = 24
+	// searches bounds the jobs outside guarantees, other than urgent ones, for
+	// which one decision looks for victims. The queue can be long, and each
+	// search compares all places.
+	searches = 4
+
+	noPlace = "no free place for the shape"
+)
 
 // Default returns the policy that the shard owners use.
 func Default() Policy {
@@ -25,13 +33,13 @@
 	}
 	p := newPlan(now, v)
 	for _, j := range p.ordered(v.Waiting) {
-		p.consider(j)
+		p.consider(*j)
 	}
 	return p.actions
 }
 
 func (p *plan) consider(j jobs.Job) {
-	if !fleet.CanEver(p.view.Workers, j.Spec.Shape) {
+	if !p.canEver(j.Spec.Shape) {
 		p.elsewhere(j)
 		return
 	}
@@ -79,19 +87,28 @@
 		return false
 	}
 	p.book.Take(i, s, c.slots)
+	if len(c.victims) == 0 && p.fitsNow(s, c.slots) {
+		p.start(j, c.slots, "inside a guarantee")
+		return true
+	}
 	p.reclaim(j, c)
 	return true
 }
 
 // lend serves a job outside guarantees.
 func (p *plan) lend(j jobs.Job) {
-	if slots, ok := p.first(p.free, j, nil); ok {
-		p.start(j, slots, "on lent capacity")
-		return
+	if !p.full[j.Spec.Shape] {
+		if slots, ok := p.first(p.free, j, nil); ok {
+			p.start(j, slots, "on lent capacity")
+			return
+		}
+		// Free capacity only shrinks in a decision, so equal shapes need not
+		// be tried again. A job that avoids workers says nothing of others.
+		p.full[j.Spec.Shape] = len(j.FailedOn) == 0
 	}
-	gives := p.gives(j)
+	gives := p.gives(&j)
 	if gives == nil {
-		p.stay(j, "no free place for "+j.Spec.Shape.String())
+		p.stay(j, noPlace)
 		return
 	}
 	if slots, ok := p.first(p.soon, j, nil); ok {
@@ -103,7 +120,7 @@
 		p.reclaim(j, c)
 		return
 	}
-	p.stay(j, "no free place for "+j.Spec.Shape.String())
+	p.stay(j, noPlace)
 }
 
 // first returns the best place on the workers for which keeps is true.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -20,7 +20,7 @@
 
 	// ranked is a waiting job with its place in the queue.
 	ranked struct {
-		job   jobs.Job
+		job   *jobs.Job
 		tier  int
 		score float64
 	}
@@ -42,31 +42,33 @@
 const (
 	tierClaim = iota
 	tierUrgent
+	tierDue
 	tierOther
 )
 
 // ordered returns the jobs in the order in which they are considered: jobs
-// inside guarantees, urgent jobs, then the others by response ratio. The ratio
+// inside guarantees, urgent jobs, large gangs that are due, then the others by response ratio. The ratio
 // of wait to run time grows with the wait, so every job comes first one day.
-func (p *plan) ordered(waiting []jobs.Job) []jobs.Job {
+func (p *plan) ordered(waiting []jobs.Job) []*jobs.Job {
 	rank := make([]ranked, len(waiting))
-	for i, j := range waiting {
+	for i := range waiting {
+		j := &waiting[i]
 		rank[i] = ranked{job: j, tier: p.tier(j), score: p.ratio(j)}
 	}
 	slices.SortFunc(rank, func(a, b ranked) int {
 		if a.tier != b.tier || a.tier != tierOther {
-			return cmp.Or(cmp.Compare(a.tier, b.tier), compareAge(&a.job, &b.job))
+			return cmp.Or(cmp.Compare(a.tier, b.tier), compareAge(a.job, b.job))
 		}
-		return cmp.Or(cmp.Compare(b.score, a.score), compareAge(&a.job, &b.job))
+		return cmp.Or(cmp.Compare(b.score, a.score), compareAge(a.job, b.job))
 	})
-	sorted := make([]jobs.Job, len(rank))
+	sorted := make([]*jobs.Job, len(rank))
 	for i, r := range rank {
 		sorted[i] = r.job
 	}
 	return sorted
 }
 
-func (p *plan) tier(j jobs.Job) int {
+func (p *plan) tier(j *jobs.Job) int {
 	if j.Spec.Guaranteed {
 		if _, ok := p.book.Match(j.Workspace, j.Spec.Shape); ok {
 			return tierClaim
@@ -75,11 +77,14 @@
 	if j.Spec.Class == jobs.Urgent {
 		return tierUrgent
 	}
+	if p.due(j) {
+		return tierDue
+	}
 	return tierOther
 }
 
 // ratio returns the response ratio that j would have if it started now.
-func (p *plan) ratio(j jobs.Job) float64 {
+func (p *plan) ratio(j *jobs.Job) float64 {
 	r := 1 + float64(p.now.Sub(j.Submitted))/float64(p.remaining(j, j.Saved))
 	if j.Spec.Class == jobs.Background {
 		r *= backgroundWeight
@@ -89,7 +94,7 @@
 
 // remaining estimates the run time that a job still needs after progress. A
 // job that overruns its estimate is taken to need as much again.
-func (p *plan) remaining(j jobs.Job, progress time.Duration) time.Duration {
+func (p *plan) remaining(j *jobs.Job, progress time.Duration) time.Duration {
 	est := j.Spec.RunTime
 	if est <= 0 {
 		est = unknownRunTime
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -27,6 +27,12 @@
 		lent  []lent
 		peers []Peer
 		bias  map[biasKey]float64
+		// full holds the shapes for which nothing free is left, and ever
+		// whether a shape fits in the empty domain.
+		full map[shape.Shape]bool
+		ever map[shape.Shape]bool
+		// searched is the number of searches for victims outside guarantees.
+		searched int
 		// starting is the number of gangs that are about to start.
 		starting int
 		actions  []Action
@@ -50,6 +56,8 @@
 		book:  quota.NewBook(v.Workers, v.Guarantees),
 		peers: slices.Clone(v.Peers),
 		bias:  biases(v.Past),
+		full:  make(map[shape.Shape]bool),
+		ever:  make(map[shape.Shape]bool),
 	}
 	for i, w := range v.Workers {
 		p.index[w.Spec.ID] = i
@@ -107,6 +115,16 @@
 	)
 }
 
+// canEver reports whether s fits in the domain when it is empty and healthy.
+func (p *plan) canEver(s shape.Shape) bool {
+	ok, known := p.ever[s]
+	if !known {
+		ok = fleet.CanEver(p.view.Workers, s)
+		p.ever[s] = ok
+	}
+	return ok
+}
+
 func (p *plan) add(a Action) { p.actions = append(p.actions, a) }
 
 func (p *plan) wait(j jobs.Job, reason string) {
--- a/internal/sched/reclaim.go
+++ b/internal/sched/reclaim.go
@@ -10,6 +10,7 @@
 	"github.com/baobabquay/baobabquay/internal/fleet"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/shape"
 )
 
 // choice is a place for a job and the lent gangs that must leave it.
@@ -132,6 +133,16 @@
 	return kept
 }
 
+// fitsNow reports whether the slots are free.
+func (p *plan) fitsNow(s shape.Shape, slots []jobs.Slot) bool {
+	for _, slot := range slots {
+		if !s.Member.Times(slot.Members).Fits(p.free[p.index[slot.Worker]].Free) {
+			return false
+		}
+	}
+	return true
+}
+
 // short reports whether a worker of the slots holds less than nothing.
 func (p *plan) short(workers []fleet.Worker, slots []jobs.Slot) bool {
 	for _, s := range slots {
--- a/internal/sched/stay.go
+++ b/internal/sched/stay.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// minPatience is the shortest wait after which a job takes its place back
-	// from gangs that overtook it. Shorter waits would stop gangs that are
-	// about to end.
-	minPatience = 30 * time.Second
-	// patienceShare is the share of its own run time that a job waits first.
-	patienceShare = 0.5
+	// minPatience and patienceShare, a share of the gang's own run time, are
+	// the wait after which a large gang is due. A gang that is due sooner
+	// stops more small jobs that would have ended by themselves.
+	minPatience   = time.Minute
+	patienceShare = 1.0
+	// largeGang is the number of accelerators from which a gang is large: it
+	// needs a whole worker, which small jobs rarely leave free by chance.
+	largeGang = 8
 	// moveAfter is the wait after which a job may move to a domain with room.
 	moveAfter = 10 * time.Second
 	// movesAtOnce bounds the moves of one decision, because the summary of
@@ -21,27 +23,35 @@
 )
 
 // gives returns which lent gangs must leave for a waiting job outside
-// guarantees, or nil if it must wait. Urgent work takes background work. Any
-// job whose patience is over takes back what later jobs of its class or below
-// took: it is so never delayed by them for long, whatever run times they
-// declared, and because the order of submission is total, two jobs cannot take
-// from each other in turn.
-func (p *plan) gives(j jobs.Job) func(*lent) bool {
-	impatient := p.now.Sub(j.Submitted) >= p.patience(j)
-	if j.Spec.Class != jobs.Urgent && !impatient {
+// guarantees, or nil if it must wait. Urgent work takes background work. A
+// large gang that is due takes its place back from smaller jobs of its class
+// or below that were submitted later. It is so never delayed by them for long,
+// whatever run times they declared. Of two jobs at most one can take from the
+// other, and a due gang comes before the jobs it takes from in the queue, so
+// that a place does not change hands for ever.
+func (p *plan) gives(j *jobs.Job) func(*lent) bool {
+	if j.Spec.Class == jobs.Urgent {
+		return func(l *lent) bool { return l.gang.Job.Spec.Class == jobs.Background }
+	}
+	if !p.due(j) || p.searched == searches {
 		return nil
 	}
+	p.searched++
+	size := j.Spec.Shape.Total().Accelerators
 	return func(l *lent) bool {
 		g := &l.gang.Job
-		if j.Spec.Class == jobs.Urgent && g.Spec.Class == jobs.Background {
-			return true
-		}
-		return impatient && g.Spec.Class >= j.Spec.Class && compareAge(&j, g) < 0
+		return g.Spec.Class >= j.Spec.Class && g.Spec.Shape.Total().Accelerators < size && compareAge(j, g) < 0
 	}
 }
 
-func (p *plan) patience(j jobs.Job) time.Duration {
-	return max(minPatience, time.Duration(patienceShare*float64(p.remaining(j, j.Saved))))
+// due reports whether a large gang has waited for so long that jobs which
+// overtook it must give its place back.
+func (p *plan) due(j *jobs.Job) bool {
+	if j.Spec.Class == jobs.Urgent || j.Spec.Shape.Total().Accelerators < largeGang {
+		return false
+	}
+	patience := time.Duration(patienceShare * float64(p.remaining(j, j.Saved)))
+	return p.now.Sub(j.Submitted) >= max(minPatience, patience)
 }
 
 // stay leaves a job waiting, or moves it to a domain that has room for it.
