Read the example keys from their own table

Cause: the page of examples got a second table with the names of the installations in its first column, which TestExampleKeys took for keys. Ruled out: renaming the installations in the new table. Change: the test reads the table below the heading of the keys; the number of keys it must find is unchanged. Conclusion: as strict as before.

--- a/internal/inifmt/files_test.go
+++ b/internal/inifmt/files_test.go
@@ -77,8 +77,11 @@
 		"khangai":   readExample(t, "khangai", "ulaanbaatar", "erdenet").Config,
 		"cedarline": readExample(t, "cedarline", "coast", "interior").Config,
 	}
+	// The page has other tables; that of the keys follows its heading.
+	_, table, ok := strings.Cut(string(b), "## Example keys")
+	assert.Assert(t, ok)
 	found := 0
-	for line := range strings.Lines(string(b)) {
+	for line := range strings.Lines(table) {
 		cells := strings.Split(line, "|")
 		if len(cells) != 5 || configs[strings.TrimSpace(cells[1])] == nil {
 			continue
