Quarantine bad workers, name unmet guarantees and give them new homes

Cause: a worker that fails everything got the next job again and again, status could not say whether guarantees are met, and guarantees stayed on workers that are gone. Ruled out: counting failures alone. A job that fails everywhere would bar good workers; three different jobs must fail in a row, and a job that ends as failed takes its failures back.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -149,6 +149,7 @@
 	l.loops.Go(func() { l.roster.Run(run) })
 	l.loops.Go(func() { l.shards.run(run) })
 	l.loops.Go(func() { l.sweep(run) })
+	l.loops.Go(func() { l.rehome(run) })
 	l.loops.Go(func() { l.becomeReady(run) })
 	return nil
 }
--- a/internal/owner/decide.go
+++ b/internal/owner/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -35,7 +36,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.workers {
-		v.Workers = append(v.Workers, t.viewed())
+		w := t.viewed()
+		if w.Health == fleet.Healthy && s.records.IsBarred(w.Spec.ID, r.now) {
+			w.Health = fleet.Barred
+		}
+		v.Workers = append(v.Workers, w)
 	}
 	for _, h := range s.jobs {
 		if h.job.State == jobs.Pending && !h.job.CancelRequested {
@@ -99,6 +104,10 @@
 	for _, j := range v.Waiting {
 		sum.WaitingAccelerators += j.Spec.Shape.Total().Accelerators
 	}
+	for _, c := range quota.Unmet(v.Workers, v.Guarantees) {
+		sum.Unmet = append(sum.Unmet, fmt.Sprintf(
+			"%s/%s: %d of %v do not fit on the workers in service", c.Workspace, c.Name, c.Count, c.Shape))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sum.Epoch = s.epoch
--- a/internal/owner/path_test.go
+++ b/internal/owner/path_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/fakes"
+	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -78,6 +79,16 @@
 			first.cancel()
 			return []jobs.Job{g.wait(j.ID, 60*time.Second)}
 		}},
+		{"badWorker", func(g *rig) []jobs.Job {
+			g.start("i1", 0)
+			g.workers[0].FailAll(true)
+			var ended []jobs.Job
+			for _, id := range []ident.Request{"a", "b", "c", "d", "e"} {
+				j := g.submit(id, 1, `{"runFor":"3s","result":"proof"}`)
+				ended = append(ended, g.wait(j.ID, 30*time.Second))
+			}
+			return ended
+		}},
 		{"cancelled", func(g *rig) []jobs.Job {
 			g.start("i1", 0)
 			j := g.submit("a", 3, `{"runFor":"1h"}`)
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -62,6 +62,7 @@
 		s.confirm(ctx, r, h)
 	case gang.Finish:
 		s.learn(h.job, v.Progress)
+		s.noteSuccess(h.job)
 		s.end(ctx, r, h, jobs.Done, "", v.Result)
 	case gang.Cancel:
 		if s.stopAll(ctx, r, h.job) {
@@ -91,7 +92,9 @@
 	if !s.stopAll(ctx, r, h.job) {
 		return
 	}
+	s.noteFailures(r, h.job, v.FailedOn)
 	if len(v.FailedOn) > 0 && h.job.Failures+1 >= jobs.MaxFailures {
+		s.excuse(h.job)
 		reason := fmt.Sprintf("failed %d times, last: %s", h.job.Failures+1, v.Reason)
 		s.end(ctx, r, h, jobs.Failed, reason, nil)
 		return
@@ -99,6 +102,33 @@
 	s.requeue(ctx, r, h, v)
 }
 
+// noteFailures records the failures of a job's tasks and logs the workers that
+// are quarantined by them.
+func (s *Shard) noteFailures(r *round, j jobs.Job, on []ident.Worker) {
+	for _, w := range on {
+		s.mu.Lock()
+		barred := s.records.Failed(w, j.ID, r.now)
+		s.mu.Unlock()
+		if barred {
+			s.deps.Log.Write(event.WorkerBarred, "worker", w, "domain", s.deps.Domain, "lastJob", j.ID)
+		}
+	}
+}
+
+func (s *Shard) excuse(j jobs.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records.Excuse(j.ID)
+}
+
+func (s *Shard) noteSuccess(j jobs.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, slot := range j.Slots {
+		s.records.Succeeded(slot.Worker)
+	}
+}
+
 func (s *Shard) requeue(ctx context.Context, r *round, h held, v gang.Verdict) {
 	next, err := jobs.Requeue(h.job, v.Reason, v.Saved, v.FailedOn)
 	if err != nil || s.commit(ctx, r, h, next) != nil {
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/config"
 	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/fleet"
 	"github.com/baobabquay/baobabquay/internal/gang"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
@@ -68,6 +69,8 @@
 		// complete with all workers answering.
 		complete map[worker.Attempt]bool
 		judged   time.Time
+		// records tell bad workers from bad jobs. A new owner starts afresh.
+		records *fleet.Records
 		// past are the run times of the jobs that ended last, oldest first.
 		past []sched.Past
 	}
@@ -231,6 +234,21 @@
 	return s.summary, s.epoch != 0
 }
 
+// OutOfService returns the workers that do not answer or are quarantined. It is
+// empty if this instance does not own the shard.
+func (s *Shard) OutOfService() []ident.Worker {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []ident.Worker
+	for id, t := range s.workers {
+		if !t.answered || !t.fenced || s.records.IsBarred(id, now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Reason returns why a waiting job waits, and whether the shard knows it.
 func (s *Shard) Reason(w ident.Workspace, j ident.Job) (string, bool) {
 	s.mu.Lock()
@@ -254,6 +272,7 @@
 	s.ready = false
 	s.outrank = time.Time{}
 	s.complete, s.judged, s.past = nil, time.Time{}, nil
+	s.records = fleet.NewRecords()
 }
 
 // noteStore logs when the store stops and starts answering.
