Keep a place for the whole claim around a smaller job

Cause: a job smaller than its claim took the claim and a part of the place. Ruled out: counting the claim as unused beside the job, which asks for its capacity twice. Urgent work takes normal lent work after 2 s; jobs that cannot checkpoint are spared from due gangs; a victim costs more with each attempt.

--- a/internal/bench/judge.go
+++ b/internal/bench/judge.go
@@ -60,8 +60,7 @@
 	if !s.inService {
 		u.blame("%s started in %s, which is out of service", g.job.ID, s.domain)
 	}
-	_, inside := u.due(w, s, func(*run) bool { return true })
-	g.lent = !slices.Contains(inside, g)
+	g.lent = !u.entitles(w, s, g)
 	racks := make(map[string]bool)
 	members := 0
 	for _, slot := range g.job.Slots {
@@ -79,9 +78,21 @@
 	}
 }
 
+// entitles reports whether a claim is left for g beside the gangs inside
+// guarantees and the older jobs that wait for theirs.
+func (u *judge) entitles(w *world, s *site, g *run) bool {
+	left, _ := u.due(w, s, func(o *run) bool { return o != g })
+	for _, q := range s.waiting {
+		if q.job.Spec.Guaranteed && q.job.Submitted.Before(g.job.Submitted) {
+			useClaim(left, q.job)
+		}
+	}
+	return g.job.Spec.Guaranteed && useClaim(left, g.job)
+}
+
 // packs checks that the unused claims of the site fit beside the gangs inside
 // guarantees. Gangs that started before the homes changed, or when their
-// workspace had no unused claim, may count as lent.
+// workspace had no claim left for them, may count as lent.
 func (u *judge) packs(w *world, s *site) {
 	if !s.inService {
 		return
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -25,6 +25,16 @@
 		bins    []shape.Bin
 		index   map[ident.Worker]int
 		workers []ident.Worker
+		// partly are claims that smaller jobs use. They keep a place for the
+		// whole shape around the job, because the claim is due again in full
+		// when the job ends.
+		partly []partial
+	}
+
+	// partial is a claimed shape and its least members on each bin.
+	partial struct {
+		shape shape.Shape
+		must  shape.Spread
 	}
 )
 
@@ -66,16 +76,18 @@
 
 // Holds reports whether all unused claims fit together.
 func (b *Book) Holds() bool {
-	_, ok := shape.Pack(b.bins, b.unused())
+	items, must := b.kept()
+	_, ok := shape.PackAround(b.bins, items, must)
 	return ok
 }
 
 // Keeps reports whether the other claims still fit when a job of shape s uses
 // the claim with index i on the slots. It does not change b.
 func (b *Book) Keeps(i int, s shape.Shape, slots []jobs.Slot) bool {
+	claims, bins, partly := slices.Clone(b.claims), slices.Clone(b.bins), slices.Clone(b.partly)
 	b.Take(i, s, slots)
 	ok := b.Holds()
-	b.give(i, s, slots)
+	b.claims, b.bins, b.partly = claims, bins, partly
 	return ok
 }
 
@@ -92,49 +104,71 @@
 // Take takes the claim whether or not the others still fit.
 func (b *Book) Take(i int, s shape.Shape, slots []jobs.Slot) {
 	b.claims[i].Count--
-	b.change(s, slots, -1)
-}
-
-func (b *Book) give(i int, s shape.Shape, slots []jobs.Slot) {
-	b.claims[i].Count++
-	b.change(s, slots, 1)
+	g := b.claims[i].Shape
+	if s.Members < g.Members || s.Member != g.Member {
+		b.partly = append(b.partly, partial{g, b.within(g, s, slots)})
+		return
+	}
+	// Slots on workers that are not in service have no bin.
+	for _, slot := range slots {
+		if n, ok := b.index[slot.Worker]; ok {
+			b.bins[n].Free = b.bins[n].Free.Sub(s.Member.Times(slot.Members))
+		}
+	}
 }
 
-// change adds sign times the slots to the bins. Slots on workers that are not
-// in service have no bin.
-func (b *Book) change(s shape.Shape, slots []jobs.Slot, sign int) {
+// within returns the members of g on each bin that hold the slots of s.
+func (b *Book) within(g, s shape.Shape, slots []jobs.Slot) shape.Spread {
+	must := make(shape.Spread, len(b.bins))
 	for _, slot := range slots {
-		if n, ok := b.index[slot.Worker]; ok {
-			b.bins[n].Free = b.bins[n].Free.Add(s.Member.Times(sign * slot.Members))
+		n, ok := b.index[slot.Worker]
+		if !ok {
+			continue
+		}
+		need := s.Member.Times(slot.Members)
+		for must[n] < slot.Members && !need.Fits(g.Member.Times(must[n])) {
+			must[n]++
 		}
 	}
+	return must
 }
 
 // Place returns slots for a job of shape s that uses the claim with index i,
 // as if all lent capacity were free, such that the other claims still fit.
 func (b *Book) Place(i int, s shape.Shape) ([]jobs.Slot, bool) {
 	b.claims[i].Count--
-	items := append(b.unused(), s)
+	items, must := b.kept()
 	b.claims[i].Count++
-	spreads, ok := shape.Pack(b.bins, items)
+	g := b.claims[i].Shape
+	spreads, ok := shape.PackAround(b.bins, append(items, g), append(must, nil))
 	if !ok {
 		return nil, false
 	}
 	var slots []jobs.Slot
-	for n, members := range spreads[len(items)-1] {
-		if members > 0 {
-			slots = append(slots, jobs.Slot{Worker: b.workers[n], Members: members})
+	left := s.Members
+	for n, members := range spreads[len(items)] {
+		if fit := s.Member.Count(g.Member.Times(members), left); members > 0 && fit > 0 {
+			slots = append(slots, jobs.Slot{Worker: b.workers[n], Members: fit})
+			left -= fit
 		}
 	}
-	return slots, true
+	return slots, left == 0
 }
 
-func (b *Book) unused() []shape.Shape {
+// kept returns the shapes that must have a place: those of the unused claims
+// and those that smaller jobs use.
+func (b *Book) kept() ([]shape.Shape, []shape.Spread) {
 	var items []shape.Shape
+	var must []shape.Spread
+	for _, p := range b.partly {
+		items = append(items, p.shape)
+		must = append(must, p.must)
+	}
 	for _, c := range b.claims {
 		for range c.Count {
 			items = append(items, c.Shape)
+			must = append(must, nil)
 		}
 	}
-	return items
+	return items, must
 }
--- a/internal/sched/reclaim.go
+++ b/internal/sched/reclaim.go
@@ -25,9 +25,10 @@
 const stopCost = 10 * time.Second
 
 // lost returns the accelerator time that reclaiming the gang costs: the
-// progress since its last checkpoint and the stop itself, times its size.
+// progress since its last checkpoint and the stop itself, times its size. It
+// counts more with each attempt, so that no job is the victim every time.
 func lost(g *Gang) time.Duration {
-	since := max(g.Progress-g.Saved, 0) + stopCost
+	since := (max(g.Progress-g.Saved, 0) + stopCost) * time.Duration(max(g.Job.Attempt, 1))
 	return since * time.Duration(max(g.Job.Spec.Shape.Total().Accelerators, 1))
 }
 
--- a/internal/sched/stay.go
+++ b/internal/sched/stay.go
@@ -15,6 +15,12 @@
 	// largeGang is the number of accelerators from which a gang is large: it
 	// needs a whole worker, which small jobs rarely leave free by chance.
 	largeGang = 8
+	// dueLoss is the unsaved work up to which a gang is stopped for a due one.
+	// Jobs that cannot checkpoint are so left alone once they have run for long.
+	dueLoss = 2 * time.Minute
+	// urgentPatience is the wait after which urgent work takes normal lent
+	// work as well. It leaves 6 s of the 8 s to stop that work and to start.
+	urgentPatience = 2 * time.Second
 	// moveAfter is the wait after which a job may move to a domain with room.
 	moveAfter = 10 * time.Second
 	// movesAtOnce bounds the moves of one decision, because the summary of
@@ -23,7 +29,8 @@
 )
 
 // gives returns which lent gangs must leave for a waiting job outside
-// guarantees, or nil if it must wait. Urgent work takes background work. A
+// guarantees, or nil if it must wait. Urgent work takes background work, and
+// normal work when no background work can make room. A
 // large gang that is due takes its place back from smaller jobs of its class
 // or below that were submitted later. It is so never delayed by them for long,
 // whatever run times they declared. Of two jobs at most one can take from the
@@ -31,7 +38,10 @@
 // that a place does not change hands for ever.
 func (p *plan) gives(j *jobs.Job) func(*lent) bool {
 	if j.Spec.Class == jobs.Urgent {
-		return func(l *lent) bool { return l.gang.Job.Spec.Class == jobs.Background }
+		return func(l *lent) bool {
+			class := l.gang.Job.Spec.Class
+			return class == jobs.Background || (class == jobs.Normal && p.now.Sub(j.Submitted) >= urgentPatience)
+		}
 	}
 	if !p.due(j) || p.searched == searches {
 		return nil
@@ -40,7 +50,7 @@
 	size := j.Spec.Shape.Total().Accelerators
 	return func(l *lent) bool {
 		g := &l.gang.Job
-		return g.Spec.Class >= j.Spec.Class && g.Spec.Shape.Total().Accelerators < size && compareAge(j, g) < 0
+		return l.gang.Progress-l.gang.Saved <= dueLoss && g.Spec.Class >= j.Spec.Class && g.Spec.Shape.Total().Accelerators < size && compareAge(j, g) < 0
 	}
 }
 
--- a/internal/shape/pack.go
+++ b/internal/shape/pack.go
@@ -26,6 +26,11 @@
 		// need[k] is the sum of the items from order[k] on.
 		need []Resources
 		put  []Spread
+		// must holds the least members of an item on each bin, or nil.
+		must []Spread
+		// fixed is the number of items that have such members. They come
+		// first in the order.
+		fixed int
 		// seen holds the states from which the remaining items do not fit.
 		seen  map[string]struct{}
 		steps int
@@ -50,13 +55,26 @@
 // search reaches its bound the answer is no, so a yes can be relied on and a no
 // can be wrong. The bins are not changed.
 func Pack(bins []Bin, items []Shape) ([]Spread, bool) {
+	return PackAround(bins, items, make([]Spread, len(items)))
+}
+
+// PackAround is Pack where item i has at least must[i] members on the bins. A
+// nil spread asks for nothing.
+func PackAround(bins []Bin, items []Shape, must []Spread) ([]Spread, bool) {
 	p := packer{
 		bins:  slices.Clone(bins),
 		items: items,
 		order: largestFirst(items),
 		put:   make([]Spread, len(items)),
+		must:  must,
 		steps: packSteps,
 	}
+	slices.SortStableFunc(p.order, func(a, b int) int { return cmp.Compare(len(must[b]), len(must[a])) })
+	for _, m := range must {
+		if m != nil {
+			p.fixed++
+		}
+	}
 	p.need = make([]Resources, len(items)+1)
 	for k := len(items) - 1; k >= 0; k-- {
 		p.need[k] = p.need[k+1].Add(items[p.order[k]].Total())
@@ -124,12 +142,12 @@
 	if !p.need[k].Fits(p.free()) {
 		return false
 	}
-	if len(p.seen) > 0 {
+	if k >= p.fixed && len(p.seen) > 0 {
 		if _, ok := p.seen[p.key(k)]; ok {
 			return false
 		}
 	}
-	for _, g := range p.groups(p.items[p.order[k]]) {
+	for _, g := range p.groups(p.order[k]) {
 		if p.spread(k, &g, 0, p.items[p.order[k]].Members) {
 			return true
 		}
@@ -137,10 +155,12 @@
 			return false
 		}
 	}
-	if p.seen == nil {
-		p.seen = make(map[string]struct{})
+	if k >= p.fixed {
+		if p.seen == nil {
+			p.seen = make(map[string]struct{})
+		}
+		p.seen[p.key(k)] = struct{}{}
 	}
-	p.seen[p.key(k)] = struct{}{}
 	return false
 }
 
@@ -148,7 +168,7 @@
 // index from on, as many as possible on each bin first.
 func (p *packer) spread(k int, g *group, from, members int) bool {
 	if members == 0 {
-		return p.place(k + 1)
+		return p.placed(k) && p.place(k+1)
 	}
 	if from == len(g.bins) || members > g.room[from] {
 		return false
@@ -159,7 +179,7 @@
 	i, item := g.bins[from], p.order[k]
 	size := p.items[item].Member
 	before := p.bins[i].Free
-	for n := min(g.counts[from], members, p.like(k, g, from)); n >= 0; n-- {
+	for n := min(g.counts[from], members, p.like(k, g, from)); n >= p.least(item, i); n-- {
 		if members-n > g.room[from+1] {
 			break
 		}
@@ -178,7 +198,7 @@
 // bins are interchangeable, so one order of them is enough.
 func (p *packer) like(k int, g *group, from int) int {
 	item := p.order[k]
-	if from == 0 {
+	if from == 0 || p.must[item] != nil {
 		return p.items[item].Members
 	}
 	prev, this := g.bins[from-1], g.bins[from]
@@ -190,8 +210,37 @@
 	return n
 }
 
-// groups returns the sets of bins that may hold s, the tightest first.
-func (p *packer) groups(s Shape) []group {
+func (p *packer) least(item, bin int) int {
+	if p.must[item] == nil {
+		return 0
+	}
+	return p.must[item][bin]
+}
+
+// placed reports whether item k has its least members on each bin.
+func (p *packer) placed(k int) bool {
+	item := p.order[k]
+	for i, n := range p.must[item] {
+		if p.put[item][i] < n {
+			return false
+		}
+	}
+	return true
+}
+
+// covers reports whether the set has all bins on which the item must be.
+func (p *packer) covers(set []int, item int) bool {
+	for i, n := range p.must[item] {
+		if n > 0 && !slices.Contains(set, i) {
+			return false
+		}
+	}
+	return true
+}
+
+// groups returns the sets of bins that may hold the item, the tightest first.
+func (p *packer) groups(item int) []group {
+	s := p.items[item]
 	sorted := make([]int, 0, len(p.bins))
 	for i, b := range p.bins {
 		if s.Member.Count(b.Free, 1) > 0 {
@@ -204,7 +253,7 @@
 	var sets [][]int
 	switch s.Adjacency {
 	case SameWorker:
-		sets = p.alone(sorted)
+		sets = p.alone(sorted, p.must[item] != nil)
 	case SameRack:
 		sets = p.byRack(sorted)
 	default:
@@ -212,7 +261,7 @@
 	}
 	var groups []group
 	for _, set := range sets {
-		if g := p.group(set, s); g.room[0] >= s.Members {
+		if g := p.group(set, s); g.room[0] >= s.Members && p.covers(set, item) {
 			groups = append(groups, g)
 		}
 	}
@@ -220,11 +269,12 @@
 	return groups
 }
 
-// alone returns one set for each bin, leaving out those equal to the one before.
-func (p *packer) alone(sorted []int) [][]int {
+// alone returns one set for each bin, leaving out those equal to the one before
+// unless all are asked for.
+func (p *packer) alone(sorted []int, all bool) [][]int {
 	var sets [][]int
 	for n, i := range sorted {
-		if n == 0 || p.bins[i] != p.bins[sorted[n-1]] {
+		if all || n == 0 || p.bins[i] != p.bins[sorted[n-1]] {
 			sets = append(sets, []int{i})
 		}
 	}
