--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -34,11 +34,15 @@
 )
 
 const (
-	exchangeEvery   = time.Second
-	exchangeTimeout = time.Second
-	scanEvery       = 2 * time.Second
-	writeEvery      = 4 * time.Second
-	storeTimeout    = 2 * time.Second
+	exchangeEvery = time.Second
+	// exchangesPerSecond bounds what an instance sends: an exchange takes about
+	// 500 bytes, is answered as often as it is made, and an instance may use
+	// 20 KB a second for control.
+	exchangesPerSecond = 16
+	exchangeTimeout    = time.Second
+	scanEvery          = 2 * time.Second
+	writeEvery         = 4 * time.Second
+	storeTimeout       = 2 * time.Second
 )
 
 // NewService returns a service that has not started.
@@ -66,9 +70,9 @@
 // Run keeps the rows and the exchanges going until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { s.every(ctx, exchangeEvery, s.exchangeAll) })
-	loops.Go(func() { s.every(ctx, scanEvery, func(ctx context.Context) { s.quietly(ctx, s.scan) }) })
-	loops.Go(func() { s.every(ctx, writeEvery, func(ctx context.Context) { s.quietly(ctx, s.write) }) })
+	loops.Go(func() { s.every(ctx, s.exchangePeriod, s.exchangeAll) })
+	loops.Go(func() { s.every(ctx, fixed(scanEvery), func(ctx context.Context) { s.quietly(ctx, s.scan) }) })
+	loops.Go(func() { s.every(ctx, fixed(writeEvery), func(ctx context.Context) { s.quietly(ctx, s.write) }) })
 	loops.Wait()
 }
 
@@ -172,10 +176,19 @@
 	_ = step(ctx)
 }
 
+func (s *Service) exchangePeriod() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.period()
+}
+
+func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // every runs f in rounds. The period varies by a tenth so that the instances
 // of a site that started together do not act in step.
-func (s *Service) every(ctx context.Context, period time.Duration, f func(context.Context)) {
+func (s *Service) every(ctx context.Context, next func() time.Duration, f func(context.Context)) {
 	for {
+		period := next()
 		wait := period - period/20 + time.Duration(rand.Int64N(int64(period/10)))
 		select {
 		case <-ctx.Done():
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -71,9 +71,9 @@
 )
 
 const (
-	// heardFor is the time for which an exchange proves an instance alive:
-	// three exchanges.
-	heardFor = 3 * exchangeEvery
+	// heardFor is the number of exchange periods for which an exchange proves
+	// an instance alive.
+	heardFor = 3
 	// rowFor is the time for which a changed row proves an instance alive.
 	rowFor = 10 * time.Second
 	// rowKept is the time after which a row that does not change is deleted.
@@ -89,6 +89,7 @@
 func (v *View) observe(rows []sighted, now time.Time) []sighted {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	heard := heardFor * v.period()
 	present := make(map[ident.Instance]bool, len(rows))
 	var old []sighted
 	for _, r := range rows {
@@ -101,12 +102,12 @@
 			p.Info, p.version, p.Changed = r.info, r.version, now
 		}
 		v.peers[r.info.Instance] = p
-		if !p.isLive(now) && now.Sub(p.Changed) > rowKept {
+		if !p.isLive(now, heard) && now.Sub(p.Changed) > rowKept {
 			old = append(old, r)
 		}
 	}
 	for i, p := range v.peers {
-		if !present[i] && !p.isLive(now) {
+		if !present[i] && !p.isLive(now, heard) {
 			delete(v.peers, i)
 		}
 	}
@@ -130,9 +131,10 @@
 func (v *View) Live(now time.Time) []Peer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	heard := heardFor * v.period()
 	var live []Peer
 	for _, p := range v.peers {
-		if p.isLive(now) {
+		if p.isLive(now, heard) {
 			live = append(live, p)
 		}
 	}
@@ -188,8 +190,14 @@
 	return owner, summary, found
 }
 
-func (p Peer) isLive(now time.Time) bool {
-	return now.Sub(p.Heard) < heardFor || now.Sub(p.Changed) < rowFor
+// period returns the time between two exchanges with the same instance. It
+// grows with their number. The caller holds the lock.
+func (v *View) period() time.Duration {
+	return max(exchangeEvery, time.Duration(len(v.peers))*time.Second/exchangesPerSecond)
+}
+
+func (p Peer) isLive(now time.Time, heard time.Duration) bool {
+	return now.Sub(p.Heard) < heard || now.Sub(p.Changed) < rowFor
 }
 
 func distance(i Info, d ident.Domain, r ident.Region) int {
