--- a/internal/owner/scale_test.go
+++ b/internal/owner/scale_test.go
@@ -36,32 +36,12 @@
 		bytes *atomic.Int64
 		calls *atomic.Int64
 	}
-
-	// countedConn counts the bytes in both directions.
-	countedConn struct {
-		net.Conn
-		bytes *atomic.Int64
-	}
 )
 
 // tasksPerWorker is the number of tasks of a worker at the two-year size:
 // 34,000 tasks on 1,500 workers.
 const tasksPerWorker = 23
 
-// Read counts the bytes received.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts the bytes sent.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkRound measures a round of a shard owner in which nothing changes:
 // every worker reports its running tasks and their leases are renewed. The
 // processor time is that of both sides of the calls.
@@ -119,7 +99,10 @@
 		MaxIdleConnsPerHost: 4,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			return countedConn{c, s.bytes}, err
+			if err != nil {
+				return nil, err
+			}
+			return fakes.Count(c, s.bytes), nil
 		},
 	}}
 	s.shard = owner.NewShard(owner.Deps{
--- a/internal/peer/scale_test.go
+++ b/internal/peer/scale_test.go
@@ -10,32 +10,13 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/sched"
 	"gotest.tools/v3/assert"
 )
 
-// countedConn counts the bytes in both directions.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read counts the bytes received.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts the bytes sent.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkExchange measures one exchange between two instances that own the
 // given number of shards, in time of both sides and in bytes on the wire. An
 // instance makes one exchange a second with each other instance.
@@ -52,7 +33,10 @@
 			c := NewClient(&http.Client{Transport: &http.Transport{
 				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 					conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-					return countedConn{conn, bytes}, err
+					if err != nil {
+						return nil, err
+					}
+					return fakes.Count(conn, bytes), nil
 				},
 			}})
 			to := netip.MustParseAddrPort(server.Listener.Addr().String())
