Write head and body of a request to an endpoint together

Cause: net/http flushes the head first when it does not know the type of the body's reader, and post hid that type to keep GetBody empty. Each request to an endpoint, a worker or the platform cost two writes.

Ruled out: a *bytes.Reader as body, because http.NewRequest then sets GetBody and the transport may send the request a second time.

Change: io.NopCloser around the reader, which keeps GetBody empty and which the transport recognises as memory.

Figures: writes of a small request, counted by the test: 2 before, 1 after.

Conclusion: half the writes; the effect on throughput is not shown.

--- a/internal/plat/call.go
+++ b/internal/plat/call.go
@@ -144,8 +144,10 @@
 func newRequest(
 	ctx context.Context, to netip.AddrPort, path string, body []byte, header http.Header,
 ) (*http.Request, error) {
-	// The plain reader hides its type, so that GetBody stays nil.
-	reader := struct{ io.Reader }{bytes.NewReader(body)}
+	// The closer hides the reader's type, so that GetBody stays nil. The
+	// transport looks behind this one and writes head and body together; with
+	// a type of our own it would flush the head first.
+	reader := io.NopCloser(bytes.NewReader(body))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, reader)
 	if err != nil {
 		return nil, fmt.Errorf("new request: %w", err)
--- a/internal/plat/conn_test.go
+++ b/internal/plat/conn_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -63,3 +65,23 @@
 		assert.Equal(t, req.ContentLength, int64(len(body)))
 	}
 }
+
+// TestPostWritesOnce guards against a small request whose head and body go out
+// in two writes, each of which wakes the other side.
+func TestPostWritesOnce(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer s.Close()
+	to, err := netip.ParseAddrPort(s.Listener.Addr().String())
+	assert.NilError(t, err)
+	var followed sending
+	req, err := newRequest(followed.follow(t.Context()), to, "/", []byte("body"), http.Header{})
+	assert.NilError(t, err)
+	client := NewClient(time.Second)
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, followed.conn.writes, 1)
+}
