Measure the processor time of a request besides the throughput

Ruled out: more rounds alone; the noise lasts longer than a round.

Change: perf reads the processor time of both processes before and after each measurement and reports the time for a request and the ratio.

--- a/cmd/perf/main.go
+++ b/cmd/perf/main.go
@@ -4,7 +4,8 @@
 // Usage:
 //
 //	perf forward --listen 127.0.0.1:7000 --endpoint 127.0.0.1:7101 --endpoint 127.0.0.1:7102
-//	perf requests --plain 127.0.0.1:7000 --instance 127.0.0.1:7001 --service fontCheck --key KEY \
+//	perf requests --plain 127.0.0.1:7000 --plainProcess 100 --instance 127.0.0.1:7001 \
+//		--instanceProcess 101 --service fontCheck --key KEY \
 //		--config base.ini --config overlay.ini
 //
 // The instance must not have a configuration yet.
@@ -59,6 +60,8 @@
 	requests.Description = "load in rounds that alternate, and the ratio"
 	requests.NetipAddrPort(&s.Plain, "", "plain", "address of the plain handler")
 	requests.NetipAddrPort(&s.Instance, "", "instance", "address of the entry instance")
+	requests.Int(&s.PlainProcess, "", "plainProcess", "process id of the plain handler")
+	requests.Int(&s.InstanceProcess, "", "instanceProcess", "process id of the entry instance")
 	requests.String(&s.Service, "", "service", "name of the service")
 	requests.String(&s.Key, "", "key", "key of the workspace")
 	requests.StringSlice(&files, "", "config", "base and overlays, each with this flag")
--- a/internal/perf/load.go
+++ b/internal/perf/load.go
@@ -21,8 +21,11 @@
 	Settings struct {
 		Plain    netip.AddrPort
 		Instance netip.AddrPort
-		Service  string
-		Key      string
+		// PlainProcess and InstanceProcess are the process ids of the sides.
+		PlainProcess    int
+		InstanceProcess int
+		Service         string
+		Key             string
 		// Rounds is the number of measurements of each side.
 		Rounds  int
 		Threads int
@@ -39,6 +42,8 @@
 		// Median and High are times to answer, High that of 99%.
 		Median time.Duration
 		High   time.Duration
+		// Processor is the processor time that the side used.
+		Processor time.Duration
 	}
 
 	// Round has one measurement of each side.
@@ -51,6 +56,7 @@
 	sender struct {
 		settings Settings
 		to       netip.AddrPort
+		process  int
 		label    string
 		client   *http.Client
 		body     []byte
@@ -71,20 +77,22 @@
 // Run measures both sides in turn. The first round is not counted: connections
 // are made and limits rise in it.
 func Run(ctx context.Context, s Settings) ([]Round, error) {
-	plain := newSender(s, s.Plain, "plain")
-	instance := newSender(s, s.Instance, "instance")
+	plain := newSender(s, s.Plain, s.PlainProcess, "plain")
+	instance := newSender(s, s.Instance, s.InstanceProcess, "instance")
 	var rounds []Round
 	for n := range s.Rounds + 1 {
 		var r Round
-		order := []func(){
-			func() { r.Plain = plain.measure(ctx, n) },
-			func() { r.Instance = instance.measure(ctx, n) },
+		order := []func() error{
+			func() (err error) { r.Plain, err = plain.measure(ctx, n); return err },
+			func() (err error) { r.Instance, err = instance.measure(ctx, n); return err },
 		}
 		if n%2 == 1 {
 			slices.Reverse(order)
 		}
 		for _, do := range order {
-			do()
+			if err := do(); err != nil {
+				return rounds, fmt.Errorf("round %d: %w", n, err)
+			}
 		}
 		if r.Plain.Requests == 0 || r.Instance.Requests == 0 {
 			return rounds, fmt.Errorf("round %d: %w", n, errNothing)
@@ -96,14 +104,18 @@
 	return rounds, nil
 }
 
-func newSender(s Settings, to netip.AddrPort, label string) *sender {
+func newSender(s Settings, to netip.AddrPort, process int, label string) *sender {
 	return &sender{
-		settings: s, to: to, label: label, client: newClient(), body: []byte(strings.Repeat("x", s.BodySize)),
+		settings: s, to: to, process: process, label: label, client: newClient(), body: []byte(strings.Repeat("x", s.BodySize)),
 	}
 }
 
 // measure runs the closed loop once.
-func (s *sender) measure(ctx context.Context, round int) Sample {
+func (s *sender) measure(ctx context.Context, round int) (Sample, error) {
+	before, err := processorTime(s.process)
+	if err != nil {
+		return Sample{}, err
+	}
 	begin := time.Now()
 	end := begin.Add(s.settings.For)
 	tallies := make([]tally, s.settings.Threads)
@@ -112,7 +124,10 @@
 		threads.Go(func() { tallies[i] = s.loop(ctx, fmt.Sprintf("%s-%d-%d", s.label, round, i), end) })
 	}
 	threads.Wait()
-	return summary(tallies, time.Since(begin))
+	all := summary(tallies, time.Since(begin))
+	after, err := processorTime(s.process)
+	all.Processor = after - before
+	return all, err
 }
 
 func (s *sender) loop(ctx context.Context, name string, end time.Time) tally {
@@ -163,5 +178,8 @@
 	return s
 }
 
+// Cost returns the processor time of one request.
+func (s Sample) Cost() time.Duration { return s.Processor / time.Duration(max(s.Requests, 1)) }
+
 // Rate returns the answers per second.
 func (s Sample) Rate() float64 { return float64(s.Requests) / s.Took.Seconds() }
--- a/internal/perf/perf_test.go
+++ b/internal/perf/perf_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -14,7 +15,9 @@
 )
 
 func sample(requests int, median time.Duration) Sample {
-	return Sample{Requests: requests, Took: time.Second, Median: median, High: 3 * median}
+	return Sample{
+		Requests: requests, Took: time.Second, Median: median, High: 3 * median, Processor: time.Second,
+	}
 }
 
 // TestRender guards against a ratio of the wrong rounds or sides.
@@ -56,6 +59,7 @@
 	defer wrong.Close()
 	rounds, err := Run(t.Context(), Settings{
 		Plain: addressOf(t, plain), Instance: addressOf(t, wrong), Service: "proof",
+		PlainProcess: os.Getpid(), InstanceProcess: os.Getpid(),
 		Rounds: 1, Threads: 1, For: 20 * time.Millisecond, BodySize: 10,
 	})
 	assert.NilError(t, err)
@@ -63,3 +67,13 @@
 	assert.Equal(t, rounds[0].Plain.Failures, 0)
 	assert.Assert(t, rounds[0].Instance.Failures > 0)
 }
+
+// TestParseStat guards against fields that are counted from a wrong place when
+// the name of the process has spaces.
+func TestParseStat(t *testing.T) {
+	d, err := parseStat([]byte("7 (a b) c) S 1 7 7 0 -1 4194560 1 2 3 4 150 50 0 0 20 0\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, d, 2*time.Second)
+	_, err = parseStat([]byte("7 (a) S 1"))
+	assert.ErrorIs(t, err, errStat)
+}
--- a/internal/perf/report.go
+++ b/internal/perf/report.go
@@ -18,8 +18,8 @@
 func Render(rounds []Round) string {
 	var out strings.Builder
 	line := func(name string, s Sample) {
-		fmt.Fprintf(&out, "  %-9s %8.0f/s  median %-8v 99%% %-8v failures %d\n",
-			name, s.Rate(), micros(s.Median), micros(s.High), s.Failures)
+		fmt.Fprintf(&out, "  %-9s %8.0f/s  median %-8v 99%% %-8v processor time %-6v failures %d\n",
+			name, s.Rate(), micros(s.Median), micros(s.High), s.Cost().Round(time.Microsecond), s.Failures)
 	}
 	for i, r := range rounds {
 		fmt.Fprintf(&out, "round %d, ratio %.2f\n", i+1, r.Instance.Rate()/r.Plain.Rate())
@@ -29,6 +29,10 @@
 	fmt.Fprintf(&out, "medians of %d rounds: plain %.0f/s, instance %.0f/s, ratio %.2f\n", len(rounds),
 		median(rounds, func(r Round) float64 { return r.Plain.Rate() }),
 		median(rounds, func(r Round) float64 { return r.Instance.Rate() }), Ratio(rounds))
+	plain := median(rounds, func(r Round) float64 { return float64(r.Plain.Cost()) })
+	instance := median(rounds, func(r Round) float64 { return float64(r.Instance.Cost()) })
+	fmt.Fprintf(&out, "processor time of a request: plain %v, instance %v, ratio %.2f\n",
+		time.Duration(plain).Round(time.Microsecond), time.Duration(instance).Round(time.Microsecond), plain/instance)
 	return out.String()
 }
 
