--- a/internal/bench/judge.go
+++ b/internal/bench/judge.go
@@ -60,6 +60,7 @@
 	if !s.inService {
 		u.blame("%s started in %s, which is out of service", g.job.ID, s.domain)
 	}
+	g.lent = !u.entitles(w, s, g)
 	racks := make(map[string]bool)
 	members := 0
 	for _, slot := range g.job.Slots {
@@ -77,8 +78,21 @@
 	}
 }
 
+// entitles reports whether a claim is left for g beside the gangs inside
+// guarantees and the older jobs that wait for theirs.
+func (u *judge) entitles(w *world, s *site, g *run) bool {
+	left, _ := u.due(w, s, func(o *run) bool { return o != g })
+	for _, q := range s.waiting {
+		if q.job.Spec.Guaranteed && q.job.Submitted.Before(g.job.Submitted) {
+			useClaim(left, q.job)
+		}
+	}
+	return g.job.Spec.Guaranteed && useClaim(left, g.job)
+}
+
 // packs checks that the unused claims of the site fit beside the gangs inside
-// guarantees. Gangs that started before the homes changed may have to move.
+// guarantees. Gangs that started before the homes changed, or when their
+// workspace had no claim left for them, may count as lent.
 func (u *judge) packs(w *world, s *site) {
 	if !s.inService {
 		return
@@ -87,7 +101,7 @@
 	if fits(shelves(s, inside), pieces(left), packBudget) {
 		return
 	}
-	left, inside = u.due(w, s, func(g *run) bool { return g.job.Started.After(w.rehomed) })
+	left, inside = u.due(w, s, func(g *run) bool { return !g.lent && g.job.Started.After(w.rehomed) })
 	if !fits(shelves(s, inside), pieces(left), packBudget) {
 		u.blame("claims of %s do not fit at %v", s.domain, w.now.Sub(start))
 	}
@@ -136,10 +150,15 @@
 			continue
 		}
 		left, _ := u.due(w, s, func(*run) bool { return true })
-		queue := slices.Clone(s.waiting)
+		var queue []*request
+		for _, q := range s.waiting {
+			if q.job.Spec.Guaranteed {
+				queue = append(queue, q)
+			}
+		}
 		slices.SortStableFunc(queue, func(a, b *request) int { return a.job.Submitted.Compare(b.job.Submitted) })
 		for _, q := range queue {
-			if q.job.Spec.Guaranteed && useClaim(left, q.job) {
+			if useClaim(left, q.job) {
 				due[q] = true
 				u.check(w, q)
 			}
@@ -160,7 +179,7 @@
 	}
 	if w.now.Sub(since) > claimBound && !u.blamed[q] {
 		u.blamed[q] = true
-		u.blame("claim %s/%s waits since %v", q.job.Workspace, q.job.ID, since.Sub(start))
+		u.blame("claim %s/%s %v waits since %v: %s", q.job.Workspace, q.job.ID, q.job.Spec.Shape, since.Sub(start), q.reason)
 	}
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/entry"
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/member"
@@ -20,12 +23,14 @@
 	mu       sync.Mutex
 	ready    bool
 	stopping bool
+	// stop is closed when stopping is set.
+	stop chan struct{}
 }
 
 // explainTimeout bounds the question to the owner of a shard.
 const explainTimeout = time.Second
 
-func newStatus() *status { return &status{} }
+func newStatus() *status { return &status{stop: make(chan struct{})} }
 
 func (s *status) isReady() bool {
 	s.mu.Lock()
@@ -48,7 +53,10 @@
 func (s *status) setStopping() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	if !s.stopping {
+		s.stopping = true
+		close(s.stop)
+	}
 }
 
 // siteStatus returns the state of the site as this instance knows it.
@@ -116,7 +124,7 @@
 // operator names a state and not a change, so a conflict with another change
 // is tried again on the new version.
 func setDomain(
-	ctx context.Context, k *site.Keeper, ro *roster.Roster, d ident.Domain, inService bool,
+	ctx context.Context, k *site.Keeper, ro *roster.Roster, log event.Log, d ident.Domain, inService bool,
 ) (*config.Config, error) {
 	for {
 		c, err := k.Read(ctx)
@@ -125,11 +133,20 @@
 		}
 		next, ok := c.WithDomain(d, inService)
 		if !ok {
-			return nil, errNoDomain
+			return nil, fmt.Errorf("failure domain %s: %w", d, entry.ErrNoDomain)
 		}
 		accepted, err := k.Apply(ctx, c.Version, quota.AssignHomes(next, ro.AllWorkers()))
-		if !isConflict(err) {
-			return accepted, err
+		switch {
+		case isConflict(err):
+			continue
+		case err != nil:
+			return nil, err
+		}
+		id := event.DomainOut
+		if inService {
+			id = event.DomainIn
 		}
+		log.Write(id, "domain", d, "version", accepted.Version)
+		return accepted, nil
 	}
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/config"
 	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/route"
 	"github.com/baobabquay/baobabquay/internal/sched"
 	"github.com/cespare/xxhash/v2"
 )
@@ -29,12 +30,17 @@
 	State struct {
 		Instance      ident.Instance
 		ConfigVersion int64
-		// Config is set when the sender has a higher version than it knows
-		// the receiver to have.
+		// Wants asks for the configuration itself: the sender knows of a
+		// higher version and cannot read it from the store.
+		Wants bool
+		// Config is set for a receiver that wants it and has a lower version.
 		Config   *config.Config
 		Shards   []sched.Summary
 		Ready    bool
 		Stopping bool
+		// Leaving are the endpoints that said to the sender lately that they
+		// are leaving. The platform's list tells it later.
+		Leaving []route.Endpoint
 	}
 
 	// Peer is another instance as this one knows it.
--- a/internal/peer/form.go
+++ b/internal/peer/form.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/ident"
@@ -9,6 +10,7 @@
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/record"
 	"github.com/baobabquay/baobabquay/internal/relay"
+	"github.com/baobabquay/baobabquay/internal/route"
 	"github.com/baobabquay/baobabquay/internal/sched"
 	"github.com/pkg/errors"
 )
@@ -22,6 +24,7 @@
 		ConfigVersion: s.ConfigVersion,
 		Ready:         s.Ready,
 		Stopping:      s.Stopping,
+		WantsConfig:   s.Wants,
 	}
 	if s.Config != nil {
 		b, err := record.EncodeConfig(s.Config)
@@ -43,6 +46,11 @@
 			Unmet:               sum.Unmet,
 		})
 	}
+	for _, e := range s.Leaving {
+		f.Leaving = append(f.Leaving, &peerv1.LeavingEndpoint{
+			Name: string(e.Name), Address: e.Address.String(), Incarnation: e.Incarnation,
+		})
+	}
 	return f, nil
 }
 
@@ -52,6 +60,7 @@
 		ConfigVersion: f.GetConfigVersion(),
 		Ready:         f.GetReady(),
 		Stopping:      f.GetStopping(),
+		Wants:         f.GetWantsConfig(),
 	}
 	if len(f.GetConfig()) > 0 {
 		c, err := record.DecodeConfig(f.GetConfig())
@@ -60,6 +69,15 @@
 		}
 		s.Config = c
 	}
+	for _, e := range f.GetLeaving() {
+		address, err := netip.ParseAddrPort(e.GetAddress())
+		if err != nil {
+			return member.State{}, fmt.Errorf("decode state of %s: endpoint %s: %w", s.Instance, e.GetName(), err)
+		}
+		s.Leaving = append(s.Leaving, route.Endpoint{
+			Name: ident.Endpoint(e.GetName()), Address: address, Incarnation: e.GetIncarnation(),
+		})
+	}
 	for _, sum := range f.GetShards() {
 		s.Shards = append(s.Shards, sched.Summary{
 			Domain:              ident.Domain(sum.GetDomain()),
--- a/internal/sched/reclaim.go
+++ b/internal/sched/reclaim.go
@@ -10,6 +10,7 @@
 	"github.com/baobabquay/baobabquay/internal/fleet"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/shape"
 )
 
 // choice is a place for a job and the lent gangs that must leave it.
@@ -24,9 +25,10 @@
 const stopCost = 10 * time.Second
 
 // lost returns the accelerator time that reclaiming the gang costs: the
-// progress since its last checkpoint and the stop itself, times its size.
+// progress since its last checkpoint and the stop itself, times its size. It
+// counts more with each attempt, so that no job is the victim every time.
 func lost(g *Gang) time.Duration {
-	since := max(g.Progress-g.Saved, 0) + stopCost
+	since := (max(g.Progress-g.Saved, 0) + stopCost) * time.Duration(max(g.Job.Attempt, 1))
 	return since * time.Duration(max(g.Job.Spec.Shape.Total().Accelerators, 1))
 }
 
@@ -132,6 +134,16 @@
 	return kept
 }
 
+// fitsNow reports whether the slots are free.
+func (p *plan) fitsNow(s shape.Shape, slots []jobs.Slot) bool {
+	for _, slot := range slots {
+		if !s.Member.Times(slot.Members).Fits(p.free[p.index[slot.Worker]].Free) {
+			return false
+		}
+	}
+	return true
+}
+
 // short reports whether a worker of the slots holds less than nothing.
 func (p *plan) short(workers []fleet.Worker, slots []jobs.Slot) bool {
 	for _, s := range slots {
--- a/internal/site/keeper.go
+++ b/internal/site/keeper.go
@@ -21,6 +21,15 @@
 		// force. It returns after at most one exchange timeout.
 		Offer func(ctx context.Context)
 		Log   event.Log
+		// Guards is set by NewKeeper where fields are nil.
+		Guards Guards
+	}
+
+	// Guards are the checks that keep the configuration from reverting, as
+	// seams for tests that turn one of them off.
+	Guards struct {
+		// Newer tells whether version next may replace version present.
+		Newer func(present, next int64) bool
 	}
 
 	// Keeper holds the configuration in force. It is safe for concurrent use.
@@ -31,8 +40,12 @@
 		current *config.Config
 		// highest is the highest version known, which may not be in force yet.
 		highest *config.Config
-		changed chan struct{}
-		wake    chan struct{}
+		// heard is the highest version that a peer has named, and readFailed
+		// tells that the last read from the store failed.
+		heard      int64
+		readFailed bool
+		changed    chan struct{}
+		wake       chan struct{}
 	}
 
 	// ConflictError tells that the version has moved since it was read.
@@ -57,6 +70,9 @@
 // NewKeeper returns a keeper with an empty configuration of version 0.
 func NewKeeper(d Deps) *Keeper {
 	empty := &config.Config{Limits: config.DefaultLimits()}
+	if d.Guards.Newer == nil {
+		d.Guards.Newer = func(present, next int64) bool { return next > present }
+	}
 	return &Keeper{
 		deps: d, current: empty, highest: empty,
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
@@ -89,10 +105,36 @@
 func (k *Keeper) Learn(c *config.Config) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.Version <= k.highest.Version {
+	if !k.deps.Guards.Newer(k.highest.Version, c.Version) {
 		return
 	}
 	k.highest = c
+	k.wakeUp()
+}
+
+// Hear takes the version that a peer has named. A higher one than known here
+// is read from the store at once.
+func (k *Keeper) Hear(version int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version <= k.heard {
+		return
+	}
+	k.heard = version
+	if version > k.highest.Version {
+		k.wakeUp()
+	}
+}
+
+// Wants reports whether a peer must send the configuration itself, because a
+// higher version is known to exist and the store does not answer.
+func (k *Keeper) Wants() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readFailed && k.heard > k.highest.Version
+}
+
+func (k *Keeper) wakeUp() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -150,14 +192,17 @@
 func (k *Keeper) Refresh(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	// Without the store the instance goes on with what its peers told it.
-	_, _ = k.Read(readCtx)
+	_, err := k.Read(readCtx)
 	cancel()
+	k.mu.Lock()
+	k.readFailed = err != nil
+	k.mu.Unlock()
 	k.install(ctx)
 }
 
 func (k *Keeper) install(ctx context.Context) {
 	next := k.Highest()
-	if next.Version <= k.Current().Version {
+	if !k.deps.Guards.Newer(k.Current().Version, next.Version) || k.isBehind() {
 		return
 	}
 	if k.deps.Offer != nil {
@@ -165,7 +210,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if next.Version <= k.current.Version {
+	if !k.deps.Guards.Newer(k.current.Version, next.Version) {
 		return
 	}
 	k.current = next
@@ -174,6 +219,15 @@
 	k.deps.Log.Write(event.ConfigInForce, "version", next.Version)
 }
 
+// isBehind reports whether this instance has just started and knows that a
+// higher version than its highest was in force elsewhere. It may itself have
+// been there before its restart, so a lower one would be a step back.
+func (k *Keeper) isBehind() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.current.Version == 0 && k.highest.Version < k.heard
+}
+
 // Apply commits next as the version after base and puts it in force here. The
 // error wraps a *ConflictError if base is not the committed version, and
 // ErrUnknown if the answer of the store was lost for good.
