Run the steps of every path against every fault

Cause: the promises were tested path by path, with one fault each. Nothing showed that they hold for every fault at every step, or for two faults.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,12 @@
 BIN           := $(CURDIR)/bin
 LINT_VERSION  := v2.15.0
 LINT          := $(BIN)/golangci-lint-$(LINT_VERSION)
+MATRIX_LOG    := $(BIN)/matrix.log
 # Tests listed in KNOWN-RED.txt are passed over; the first word of an entry is the test's name.
 KNOWN_RED     := $(shell sed -n 's/^test: *\([A-Za-z0-9_\/]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP          := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: help build test lint format proto demo
+.PHONY: help build test matrix lint format proto demo
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -20,6 +21,12 @@
 	@sed -n 's/^test: */known red, passed over: /p' KNOWN-RED.txt
 	$(GO) test -race -count=1 $(SKIP) ./...
 
+matrix: ## run every step against every fault; the last line has the counts
+	@mkdir -p $(BIN)
+	@MATRIX=1 $(GO) test ./internal/matrix -run '^TestMatrix$$' -count=1 -timeout 20m -v >$(MATRIX_LOG) 2>&1; \
+		status=$$?; grep -E '^ +matrix_test.go|^--- FAIL|^FAIL|^panic|^matrix: seed' $(MATRIX_LOG); \
+		grep -E '^matrix: cells' $(MATRIX_LOG) || tail -30 $(MATRIX_LOG); exit $$status
+
 lint: $(LINT) ## run the formatter, go vet and the linter
 	@out=$$($(LINT) fmt --diff); test -z "$$out" || { echo "$$out"; echo "run make format"; exit 1; }
 	$(GO) vet ./...
