--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(GO) test -race -count=1 $(SKIP) ./...
 
 bench: ## measure the scheduling policy against the baselines, in virtual time
-	$(GO) run ./cmd/bench
+	$(GO) run ./cmd/bench -plots docs/plots
 
 lint: $(LINT) ## run the formatter, go vet and the linter
 	@out=$$($(LINT) fmt --diff); test -z "$$out" || { echo "$$out"; echo "run make format"; exit 1; }
