Limit starts at once and test policy, homes and claims

Cause: a domain that returns was refilled without a limit, and only the packing check had tests. Ruled out: a limit by the time since the return, which the view does not have.

--- a/internal/bench/judge.go
+++ b/internal/bench/judge.go
@@ -1,8 +1,10 @@
 package bench
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/fleet"
@@ -83,7 +85,8 @@
 func (u *judge) entitles(w *world, s *site, g *run) bool {
 	left, _ := u.due(w, s, func(o *run) bool { return o != g })
 	for _, q := range s.waiting {
-		if q.job.Spec.Guaranteed && q.job.Submitted.Before(g.job.Submitted) {
+		older := cmp.Or(q.job.Submitted.Compare(g.job.Submitted), strings.Compare(string(q.job.ID), string(g.job.ID))) < 0
+		if q.job.Spec.Guaranteed && older {
 			useClaim(left, q.job)
 		}
 	}
--- /dev/null
+++ b/internal/quota/book_test.go
@@ -0,0 +1,112 @@
+package quota_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/quota"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"pgregory.net/rapid"
+)
+
+type used struct {
+	claim int
+	shape shape.Shape
+	slots []jobs.Slot
+}
+
+// propertySeed makes the property tests the same on each run.
+const propertySeed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", propertySeed); err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	fmt.Println("rapid seed", propertySeed)
+	os.Exit(m.Run())
+}
+
+// TestClaimsFitAfterAnyEnd guards against a claim that no longer fits once a
+// job that used it, or only a part of it, has ended.
+func TestClaimsFitAfterAnyEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		free := drawWorkers(t)
+		claims := drawClaims(t)
+		if !quota.NewBook(free, claims).Holds() {
+			return
+		}
+		var gangs []used
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			b := rebuilt(free, claims, gangs)
+			if len(gangs) > 0 && rapid.Bool().Draw(t, "end") {
+				i := rapid.IntRange(0, len(gangs)-1).Draw(t, "which")
+				gangs = slices.Delete(gangs, i, i+1)
+			} else if g, ok := drawStart(t, b, claims); ok {
+				gangs = append(gangs, g)
+			}
+			if !rebuilt(free, claims, gangs).Holds() {
+				t.Fatalf("claims %v do not fit beside %v", claims, gangs)
+			}
+		}
+	})
+}
+
+func drawWorkers(t *rapid.T) []fleet.Worker {
+	var all []fleet.Worker
+	for _, s := range workers(rapid.IntRange(2, 10).Draw(t, "workers"), "ub1") {
+		all = append(all, fleet.Worker{Spec: s, Free: s.Capacity})
+	}
+	return all
+}
+
+// drawClaims gives each workspace one guarantee, so that a job matches it.
+func drawClaims(t *rapid.T) []quota.Claim {
+	var claims []quota.Claim
+	for i := range rapid.IntRange(1, 3).Draw(t, "claims") {
+		claims = append(claims, quota.Claim{
+			Workspace: ident.Workspace(fmt.Sprintf("ws%d", i)),
+			Shape: shape.Shape{
+				Members:   rapid.IntRange(1, 4).Draw(t, "members"),
+				Member:    shape.Resources{Accelerators: rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "each")},
+				Adjacency: shape.Adjacency(rapid.IntRange(0, 1).Draw(t, "adjacency")),
+			},
+			Count: rapid.IntRange(1, 2).Draw(t, "count"),
+		})
+	}
+	return claims
+}
+
+func drawStart(t *rapid.T, b *quota.Book, claims []quota.Claim) (used, bool) {
+	c := rapid.SampledFrom(claims).Draw(t, "claim")
+	s := c.Shape
+	s.Members = rapid.IntRange(1, s.Members).Draw(t, "jobMembers")
+	s.Member.Accelerators = rapid.IntRange(1, s.Member.Accelerators).Draw(t, "jobEach")
+	i, ok := b.Match(c.Workspace, s)
+	if !ok {
+		return used{}, false
+	}
+	slots, ok := b.Place(i, s)
+	if !ok {
+		t.Fatalf("claim %v has no place for %v", c, s)
+	}
+	if !b.Use(i, s, slots) {
+		t.Fatalf("claim %v refuses its own place %v", c, slots)
+	}
+	return used{i, s, slots}, true
+}
+
+func rebuilt(free []fleet.Worker, claims []quota.Claim, gangs []used) *quota.Book {
+	b := quota.NewBook(free, claims)
+	for _, g := range gangs {
+		b.Take(g.claim, g.shape, g.slots)
+	}
+	return b
+}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -16,6 +16,10 @@
 	// which one decision looks for victims. The queue can be long, and each
 	// search compares all places.
 	searches = 4
+	// minStarts bounds from below how many gangs may be starting at once
+	// before lent work waits; otherwise the bound is one for each worker. It
+	// spreads the refill of a domain that returns over several seconds.
+	minStarts = 8
 
 	noPlace = "no free place for the shape"
 )
@@ -97,6 +101,10 @@
 
 // lend serves a job outside guarantees.
 func (p *plan) lend(j jobs.Job) {
+	if j.Spec.Class != jobs.Urgent && p.starting >= max(minStarts, len(p.view.Workers)) {
+		p.wait(j, "many gangs are starting")
+		return
+	}
 	if !p.full[j.Spec.Shape] {
 		if slots, ok := p.first(p.free, j, nil); ok {
 			p.start(j, slots, "on lent capacity")
--- /dev/null
+++ b/internal/sched/decide_test.go
@@ -0,0 +1,151 @@
+package sched_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/sched"
+	"github.com/baobabquay/baobabquay/internal/shape"
+	"github.com/baobabquay/baobabquay/internal/worker"
+	"gotest.tools/v3/golden"
+)
+
+var now = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+// rack returns n workers of 8 accelerators in one rack.
+func rack(n int) []fleet.Worker {
+	var workers []fleet.Worker
+	for i := range n {
+		c := shape.Resources{Accelerators: 8, Processors: 60, Memory: 256 * shape.GiB}
+		workers = append(workers, fleet.Worker{
+			Spec: worker.Spec{ID: ident.Worker(fmt.Sprintf("w%d", i)), Domain: "ub1", Rack: "r0", Capacity: c},
+			Free: c,
+		})
+	}
+	return workers
+}
+
+func job(id ident.Job, members, each int, c jobs.Class, waited time.Duration) jobs.Job {
+	return jobs.Job{
+		ID: id, Workspace: "foundryA", Submitted: now.Add(-waited),
+		Spec: jobs.Spec{
+			Shape:   shape.Shape{Members: members, Member: shape.Resources{Accelerators: each}, Adjacency: shape.SameRack},
+			Class:   c,
+			RunTime: time.Minute,
+		},
+	}
+}
+
+func inside(j jobs.Job) jobs.Job {
+	j.Spec.Guaranteed = true
+	return j
+}
+
+// running adds a gang to the view.
+func running(v *sched.View, j jobs.Job, progress, saved time.Duration, slots ...jobs.Slot) {
+	j.State, j.Slots, j.Started = jobs.Running, slots, now.Add(-progress)
+	v.Gangs = append(v.Gangs, sched.Gang{Job: j, Progress: progress, Saved: saved})
+	for _, s := range slots {
+		for i := range v.Workers {
+			if v.Workers[i].Spec.ID == s.Worker {
+				v.Workers[i].Free = v.Workers[i].Free.Sub(j.Spec.Shape.Member.Times(s.Members))
+			}
+		}
+	}
+}
+
+func view(workers int) *sched.View {
+	return &sched.View{Domain: "ub1", InService: true, Workers: rack(workers)}
+}
+
+func proof(count int) []sched.Home {
+	s := shape.Shape{Members: 2, Member: shape.Resources{Accelerators: 8}, Adjacency: shape.SameRack}
+	return []sched.Home{{Workspace: "foundryA", Name: "proof", Shape: s, Count: count}}
+}
+
+// TestDecide guards against changes of what the policy does in the cases that
+// the promises depend on. Each case names the fault that it would show.
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name string
+		make func() *sched.View
+	}{
+		{"claim takes back the gangs that lose the least", func() *sched.View {
+			v := view(3)
+			v.Guarantees = proof(1)
+			for i, lost := range []time.Duration{time.Minute, time.Hour, 2 * time.Minute} {
+				running(v, job(ident.Job(fmt.Sprintf("lent%d", i)), 1, 8, jobs.Background, time.Hour), lost, 0, jobs.Slot{Worker: ident.Worker(fmt.Sprintf("w%d", i)), Members: 1})
+			}
+			v.Waiting = []jobs.Job{inside(job("claim", 2, 8, jobs.Normal, time.Second))}
+			return v
+		}},
+		{"claim counts what is being reclaimed", func() *sched.View {
+			v := view(2)
+			v.Guarantees = proof(1)
+			for i := range 2 {
+				running(v, job(ident.Job(fmt.Sprintf("lent%d", i)), 1, 8, jobs.Background, time.Hour), time.Minute, 0, jobs.Slot{Worker: ident.Worker(fmt.Sprintf("w%d", i)), Members: 1})
+				v.Gangs[i].Reclaiming = true
+			}
+			v.Waiting = []jobs.Job{inside(job("claim", 2, 8, jobs.Normal, time.Second))}
+			return v
+		}},
+		{"small claim leaves the place of the other claim whole", func() *sched.View {
+			v := view(4)
+			v.Guarantees = proof(2)
+			running(v, inside(job("first", 1, 4, jobs.Normal, time.Hour)), time.Minute, 0, jobs.Slot{Worker: "w0", Members: 1})
+			v.Waiting = []jobs.Job{inside(job("second", 2, 8, jobs.Normal, time.Second))}
+			return v
+		}},
+		{"urgent work takes background work and not normal work", func() *sched.View {
+			v := view(2)
+			running(v, job("normal", 1, 8, jobs.Normal, time.Hour), time.Second, 0, jobs.Slot{Worker: "w0", Members: 1})
+			running(v, job("background", 1, 8, jobs.Background, time.Hour), time.Hour, 0, jobs.Slot{Worker: "w1", Members: 1})
+			v.Waiting = []jobs.Job{job("urgent", 1, 1, jobs.Urgent, time.Second)}
+			return v
+		}},
+		{"due gang takes its place back from later small jobs", func() *sched.View {
+			v := view(2)
+			for i := range 2 {
+				running(v, job(ident.Job(fmt.Sprintf("late%d", i)), 1, 1, jobs.Normal, 10*time.Second), 5*time.Second, 0, jobs.Slot{Worker: ident.Worker(fmt.Sprintf("w%d", i)), Members: 1})
+			}
+			v.Waiting = []jobs.Job{job("gang", 2, 8, jobs.Normal, time.Hour), job("small", 1, 7, jobs.Normal, time.Second)}
+			return v
+		}},
+		{"impossible job is refused and one that fits elsewhere moves", func() *sched.View {
+			v := view(2)
+			v.Peers = []sched.Peer{{Domain: "ub2", InService: true, Workers: specs(rack(4))}}
+			v.Waiting = []jobs.Job{job("huge", 64, 8, jobs.Normal, 0), job("big", 4, 8, jobs.Normal, 0)}
+			return v
+		}},
+		{"domain out: least loss first", func() *sched.View {
+			v := view(2)
+			v.InService = false
+			v.Peers = []sched.Peer{{Domain: "ub2", InService: true, Workers: specs(rack(2))}}
+			running(v, job("dear", 1, 8, jobs.Normal, time.Hour), time.Hour, 0, jobs.Slot{Worker: "w0", Members: 1})
+			running(v, job("saved", 1, 8, jobs.Normal, time.Hour), time.Hour, time.Hour, jobs.Slot{Worker: "w1", Members: 1})
+			v.Waiting = []jobs.Job{job("queued", 1, 1, jobs.Normal, time.Hour)}
+			return v
+		}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		fmt.Fprintf(&out, "# %s\n", c.name)
+		for _, a := range sched.Default().Decide(now, c.make()) {
+			fmt.Fprintf(&out, "%v %s %v%s: %s\n", a.Kind, a.Job.ID, a.Slots, a.To, a.Reason)
+		}
+	}
+	golden.Assert(t, out.String(), "decide.golden")
+}
+
+func specs(workers []fleet.Worker) []worker.Spec {
+	var all []worker.Spec
+	for _, w := range workers {
+		all = append(all, w.Spec)
+	}
+	return all
+}
