--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(GO) test -race -count=1 $(SKIP) ./...
 
 bench: ## measure the scheduling policy against the baselines, in virtual time
-	$(GO) run ./cmd/bench
+	$(GO) run ./cmd/bench -plots docs/plots
 
 matrix: ## run every step against every fault; the last line has the counts
 	@mkdir -p $(BIN)
