Count the bytes between regions by kind

Cause: the link between regions is billed by volume, and nothing told what uses it. Event 5006 was in the catalogue but never written. Ruled out: counting at accepted connections too. The other side of a call between instances counts it already, and the sum over instances would have these bytes twice. Change: package link wraps the dialled connections below the write counter of plat, so that the proof that nothing was sent is as before. There is one client per kind of traffic. The region of an address comes from the list, the member view and the new optional setting platformRegion. Figures: none measured. Conclusion: metrics baobabquay_link_bytes_total and event 5006 each minute.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -19,6 +19,7 @@
 	"github.com/baobabquay/baobabquay/internal/inifmt"
 	"github.com/baobabquay/baobabquay/internal/intake"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/link"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peer"
 	"github.com/baobabquay/baobabquay/internal/quota"
@@ -40,6 +41,7 @@
 	members *member.Service
 	roster  *roster.Roster
 	relay   *relay.Relay
+	link    *link.Counter
 	shards  *shards
 	status  *status
 	table   store.Table
@@ -70,7 +72,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, l),
 		fx.Provide(
-			newSelf, newLog, newPlatform, newPeers, newStatus, newSite, newFinder, newAgent,
+			newSelf, newLog, newPlaces, newLink, newPlatform, newPeers, newStatus, newSite, newFinder, newAgent,
 			newShards, newRoutes, newMembers, newRelay, newRoster, newIntake, newLife,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *life) {
@@ -84,15 +86,19 @@
 func newLife(
 	self member.Info, k *site.Keeper, m *member.Service, ro *roster.Roster, r *relay.Relay,
 	in *intake.Intake, sh *shards, st *status, f *finder, t store.Table, log event.Log,
+	where *places, lc *link.Counter,
 ) *life {
 	f.view, sh.deps.view, sh.deps.roster = m, m, ro
+	where.set(k, m, ro)
 	l := &life{
 		self: self, site: k, members: m, roster: ro, relay: r, shards: sh, status: st, table: t, log: log,
+		link: lc,
 	}
 	l.callers = newServer(entry.NewHandler(entry.Deps{
 		Config: k.Current, Jobs: in, Relay: r.Do, Region: self.Region, Ready: st.isReady,
 		Metrics: func(w http.ResponseWriter) {
 			r.Metrics().WritePrometheus(w)
+			lc.WriteMetrics(w)
 			metrics.WriteProcessMetrics(w)
 		},
 		Admin: entry.Admin{
@@ -150,6 +156,7 @@
 	l.loops.Go(func() { l.shards.run(run) })
 	l.loops.Go(func() { l.sweep(run) })
 	l.loops.Go(func() { l.rehome(run) })
+	l.loops.Go(func() { l.link.Run(run) })
 	l.loops.Go(func() { l.becomeReady(run) })
 	return nil
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -10,6 +10,7 @@
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/intake"
+	"github.com/baobabquay/baobabquay/internal/link"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peer"
 	"github.com/baobabquay/baobabquay/internal/plat"
@@ -31,7 +32,13 @@
 	Table   store.Table
 	Objects store.Objects
 	List    plat.List
-	Client  *http.Client
+	Clients clients
+}
+
+// clients are the clients by the kind of their traffic.
+type clients struct {
+	request *http.Client
+	worker  *http.Client
 }
 
 // dialTimeout bounds the time to connect to an endpoint, a worker or the
@@ -53,18 +60,22 @@
 	}
 }
 
-func newPlatform(s Settings) platform {
-	c := plat.NewClient(dialTimeout)
+func newPlatform(s Settings, lc *link.Counter) platform {
+	c := newClient(lc, link.Store)
 	return platform{
 		Table:   plat.Table(s.Platform, c),
 		Objects: plat.Objects(s.Platform, c),
-		List:    plat.Instances(s.Platform, c),
-		Client:  c,
+		List:    plat.Instances(s.Platform, newClient(lc, link.List)),
+		Clients: clients{request: newClient(lc, link.Request), worker: newClient(lc, link.Worker)},
 	}
 }
 
-func newPeers() *peer.Client {
-	return peer.NewClient(plat.NewClient(dialTimeout))
+func newClient(lc *link.Counter, k link.Kind) *http.Client {
+	return plat.NewWrappedClient(dialTimeout, lc.Wrap(k))
+}
+
+func newPeers(lc *link.Counter) *peer.Client {
+	return peer.NewClient(newClient(lc, link.Peer))
 }
 
 // newSite returns the keeper of the configuration. Its Offer is set when the
@@ -151,7 +162,7 @@
 }
 
 func newRelay(
-	t store.Table, self member.Info, k *site.Keeper, c *http.Client, find *finder, routes *route.Table, log event.Log,
+	t store.Table, self member.Info, k *site.Keeper, c clients, find *finder, routes *route.Table, log event.Log,
 ) *relay.Relay {
 	settings := relay.DefaultSettings()
 	settings.Instance = self.Instance
@@ -161,7 +172,7 @@
 		Take:    claims.Take,
 		Resolve: find.resolve,
 		Send: func(ctx context.Context, e route.Endpoint, a relay.Attempt) (relay.Reply, error) {
-			return send(ctx, c, k, e, a)
+			return send(ctx, c.request, k, e, a)
 		},
 	}, routes, settings, log)
 }
@@ -177,6 +188,6 @@
 	})
 }
 
-func newAgent(c *http.Client) func(worker.Spec) worker.Agent {
-	return func(s worker.Spec) worker.Agent { return plat.Agent(s.Address, c) }
+func newAgent(c clients) func(worker.Spec) worker.Agent {
+	return func(s worker.Spec) worker.Agent { return plat.Agent(s.Address, c.worker) }
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -27,6 +27,9 @@
 		Peer netip.AddrPort
 		// Platform is the address of the platform's services.
 		Platform netip.AddrPort
+		// PlatformRegion is the region of the platform's services. It is empty
+		// if they are in no other region than the instance.
+		PlatformRegion ident.Region
 	}
 
 	// settingsReader collects the mistakes of one file.
@@ -64,7 +67,9 @@
 	peerKey     = settingKey{"peer", othersAllowed}
 	platformKey = settingKey{"platform", addressAllowed}
 
-	settingKeys = []settingKey{nameKey, domainKey, regionKey, listenKey, peerKey, platformKey}
+	platformRegionKey = settingKey{"platformRegion", nameAllowed}
+
+	settingKeys = []settingKey{nameKey, domainKey, regionKey, listenKey, peerKey, platformKey, platformRegionKey}
 
 	// settingsOptions keep repeated sections and keys, so that they are found.
 	settingsOptions = ini.LoadOptions{
@@ -109,6 +114,9 @@
 		Peer:     r.address(peerKey),
 		Platform: r.address(platformKey),
 	}
+	if r.section.HasKey(platformRegionKey.name) {
+		s.PlatformRegion = ident.Region(r.name(platformRegionKey))
+	}
 	if s.Peer.IsValid() && s.Peer.Addr().IsUnspecified() {
 		r.add(section, peerKey.name, fmt.Sprintf("%v is no address of one instance", s.Peer), peerKey.allowed)
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -98,7 +98,7 @@
 	{InstanceEnded, "instanceEnded", "This instance ends; nothing is in flight unless cutOff is above 0."},
 	{PeerFound, "peerFound", "Another instance answers."},
 	{PeerLost, "peerLost", "Another instance no longer answers."},
-	{LinkBytes, "linkBytes", "Bytes sent between regions since the last report, by kind."},
+	{LinkBytes, "linkBytes", "Bytes sent to and received from other regions since the last report, by kind."},
 }
 
 // New returns a log that writes to l.
--- /dev/null
+++ b/internal/link/bytes.go
@@ -0,0 +1,118 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/ident"
+)
+
+type (
+	// Kind is what a connection is used for.
+	Kind int
+
+	// Deps are the calls that a Counter makes.
+	Deps struct {
+		// Self is the region of this instance.
+		Self ident.Region
+		// RegionOf returns the region of an address, and false while it is
+		// not known.
+		RegionOf func(a netip.AddrPort) (ident.Region, bool)
+		Log      event.Log
+	}
+
+	// Counter counts the bytes to and from other regions. It is safe for
+	// concurrent use.
+	Counter struct {
+		deps    Deps
+		metrics *metrics.Set
+		kinds   [len(kindNames)]volume
+	}
+
+	// volume are the bytes of one kind.
+	volume struct {
+		sent     *metrics.Counter
+		received *metrics.Counter
+	}
+)
+
+// The kinds of traffic.
+const (
+	// Request is a request to an endpoint and its answer.
+	Request Kind = iota
+	// Store is a call to the table service or the object store.
+	Store
+	// Peer is a call to another instance.
+	Peer
+	// Worker is a call to a worker.
+	Worker
+	// List is a call to the platform's list of instances.
+	List
+)
+
+// reportEvery is the period of the log event.
+const reportEvery = time.Minute
+
+var kindNames = [...]string{"request", "store", "peer", "worker", "list"}
+
+// NewCounter returns a counter of zero bytes.
+func NewCounter(d Deps) *Counter {
+	c := &Counter{deps: d, metrics: metrics.NewSet()}
+	for k, name := range kindNames {
+		c.kinds[k] = volume{
+			sent:     c.metrics.NewCounter(metricName(name, "sent")),
+			received: c.metrics.NewCounter(metricName(name, "received")),
+		}
+	}
+	return c
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
+// Wrap returns a function that counts the bytes of a connection as kind k.
+func (c *Counter) Wrap(k Kind) func(net.Conn) net.Conn {
+	return func(n net.Conn) net.Conn {
+		return &conn{Conn: n, volume: &c.kinds[k], isRemote: c.isRemote}
+	}
+}
+
+// WriteMetrics writes the counters in the text format of Prometheus.
+func (c *Counter) WriteMetrics(w io.Writer) { c.metrics.WritePrometheus(w) }
+
+// Run writes the bytes of each minute to the log until ctx ends.
+func (c *Counter) Run(ctx context.Context) {
+	var last [len(kindNames)][2]uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reportEvery):
+		}
+		var pairs []any
+		for k := range c.kinds {
+			now := [2]uint64{c.kinds[k].sent.Get(), c.kinds[k].received.Get()}
+			pairs = append(pairs,
+				kindNames[k]+"Sent", now[0]-last[k][0], kindNames[k]+"Received", now[1]-last[k][1])
+			last[k] = now
+		}
+		c.deps.Log.Write(event.LinkBytes, pairs...)
+	}
+}
+
+// isRemote reports whether the address is in another region, and whether its
+// region is known.
+func (c *Counter) isRemote(a netip.AddrPort) (remote, known bool) {
+	r, ok := c.deps.RegionOf(a)
+	return ok && r != c.deps.Self, ok
+}
+
+func metricName(kind, direction string) string {
+	return fmt.Sprintf(`baobabquay_link_bytes_total{kind=%q,direction=%q}`, kind, direction)
+}
--- /dev/null
+++ b/internal/link/doc.go
@@ -0,0 +1,14 @@
+// Package link measures and shares the network between the regions of a site.
+//
+// The link is slow, shared by all instances and billed by volume. A Counter
+// counts the bytes on dialled connections whose other side is in another
+// region, by kind of traffic and direction. It counts only the side that
+// dials, so that the sum over all instances counts each byte once, without the
+// overhead of TCP and IP.
+//
+// # Usage
+//
+//	c := link.NewCounter(link.Deps{Self: "ulaanbaatar", RegionOf: regionOf, Log: log})
+//	go c.Run(ctx)
+//	client := plat.NewWrappedClient(time.Second, c.Wrap(link.Store))
+package link
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -150,6 +150,18 @@
 	return p, ok
 }
 
+// RegionOf returns the region of the instance with the given peer address.
+func (v *View) RegionOf(a netip.AddrPort) (ident.Region, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.peers {
+		if p.Peer == a {
+			return p.Region, true
+		}
+	}
+	return "", false
+}
+
 // Rank returns the place of this instance in the order in which live instances
 // should take the shard of a domain, 0 for the first. The order is by
 // rendezvous hashing among those in the domain, then those in its region, then
--- a/internal/plat/conn.go
+++ b/internal/plat/conn.go
@@ -47,6 +47,12 @@
 // connect is bounded by dial; calls are bounded by their contexts. It follows
 // no redirects and uses no proxy.
 func NewClient(dial time.Duration) *http.Client {
+	return NewWrappedClient(dial, func(c net.Conn) net.Conn { return c })
+}
+
+// NewWrappedClient returns a client like NewClient whose connections are used
+// through wrap.
+func NewWrappedClient(dial time.Duration, wrap func(net.Conn) net.Conn) *http.Client {
 	d := &net.Dialer{Timeout: dial}
 	return &http.Client{
 		Transport: &http.Transport{
@@ -55,7 +61,7 @@
 				if err != nil {
 					return nil, fmt.Errorf("connect: %w", err)
 				}
-				return &conn{Conn: c}, nil
+				return &conn{Conn: wrap(c)}, nil
 			},
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdle,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -32,7 +33,10 @@
 
 		mu      sync.Mutex
 		listing Listing
-		read    bool
+		// endpoints and workers are the places of the listed addresses.
+		endpoints map[netip.AddrPort]ident.Region
+		workers   map[netip.AddrPort]ident.Domain
+		read      bool
 	}
 )
 
@@ -65,15 +69,43 @@
 	if err != nil {
 		return fmt.Errorf("read list of instances: %w", err)
 	}
-	r.mu.Lock()
-	r.listing, r.read = l, true
-	r.mu.Unlock()
+	r.set(l)
 	if r.deps.Update != nil {
 		r.deps.Update(l.Endpoints, time.Now())
 	}
 	return nil
 }
 
+func (r *Roster) set(l Listing) {
+	endpoints := make(map[netip.AddrPort]ident.Region, len(l.Endpoints))
+	for _, e := range l.Endpoints {
+		endpoints[e.Address] = e.Region
+	}
+	workers := make(map[netip.AddrPort]ident.Domain, len(l.Workers))
+	for _, w := range l.Workers {
+		workers[w.Address] = w.Domain
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listing, r.endpoints, r.workers, r.read = l, endpoints, workers, true
+}
+
+// RegionOfEndpoint returns the region of the endpoint with the address.
+func (r *Roster) RegionOfEndpoint(a netip.AddrPort) (ident.Region, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	region, ok := r.endpoints[a]
+	return region, ok
+}
+
+// DomainOfWorker returns the failure domain of the worker with the address.
+func (r *Roster) DomainOfWorker(a netip.AddrPort) (ident.Domain, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.workers[a]
+	return d, ok
+}
+
 // IsRead reports whether a list has been read.
 func (r *Roster) IsRead() bool {
 	r.mu.Lock()
