Keep bulk on the link from delaying urgent requests

Cause: requests with large bodies to the other region filled the link of about 30 Mbit/s, and urgent requests waited behind them. Ruled out: waiting inside the call to the endpoint. Also ruled out: reservations in order of arrival, because a waiting request may find an endpoint in its own region before its turn. Change: link.Gate with a token bucket for each direction; a filter share in the attempt chain that gives endpoint and place back while the request waits, never past its deadline, at most 16 requests at an instance; the limits linkRate, linkBulkShare and linkBulkSize; the reason linkBusy. Each instance has an equal part of the link. A stored configuration without the limits gets the defaults.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -50,6 +50,9 @@
 	StopDelayRange  = Range[time.Duration]{0, time.Minute}
 	StopLimitRange  = Range[time.Duration]{time.Second, time.Hour}
 	CheckpointRange = Range[time.Duration]{0, time.Minute}
+	LinkRateRange   = Range[shape.Bytes]{64 << 10, 1 << 40}
+	LinkShareRange  = Range[float64]{0.01, 1}
+	LinkSizeRange   = Range[shape.Bytes]{1 << 10, shape.GiB}
 	nameAllowed     = fmt.Sprintf("1 to %d letters, digits, dots, underscores and hyphens, the first of them no dot", ident.MaxLength)
 )
 
@@ -198,6 +201,9 @@
 	checkRange(k, Path{LimitsKind, "", FieldStopDelay}, l.StopDelay, StopDelayRange)
 	checkRange(k, Path{LimitsKind, "", FieldStopLimit}, l.StopLimit, StopLimitRange)
 	checkRange(k, Path{LimitsKind, "", FieldCheckpointLimit}, l.CheckpointLimit, CheckpointRange)
+	checkRange(k, Path{LimitsKind, "", FieldLinkRate}, l.LinkRate, LinkRateRange)
+	checkRange(k, Path{LimitsKind, "", FieldLinkBulkShare}, l.LinkBulkShare, LinkShareRange)
+	checkRange(k, Path{LimitsKind, "", FieldLinkBulkSize}, l.LinkBulkSize, LinkSizeRange)
 }
 
 // checkPart checks a part's own name and that no other part has its path.
--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -71,6 +71,7 @@
 		Operators: []Operator{{"desk", []keys.Hash{h}}, {"desk", nil}},
 		Limits: Limits{
 			MaxBody: -1, RetryShare: math.NaN(), StopDelay: -time.Second, StopLimit: 2 * time.Hour, CheckpointLimit: time.Hour,
+			LinkRate: 1, LinkBulkShare: 0, LinkBulkSize: 1 << 40,
 		},
 	}
 	golden.Assert(t, c.Check().Error()+"\n", "check-all.golden")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -85,6 +85,13 @@
 		StopLimit time.Duration
 		// CheckpointLimit is the time a reclaimed task has to save its progress.
 		CheckpointLimit time.Duration
+		// LinkRate is what all instances together may send over the link
+		// between regions in a second, each way.
+		LinkRate shape.Bytes
+		// LinkBulkShare is the part of LinkRate for bulk: background and
+		// normal requests whose body has LinkBulkSize or more.
+		LinkBulkShare float64
+		LinkBulkSize  shape.Bytes
 	}
 )
 
@@ -96,6 +103,9 @@
 		StopDelay:       2 * time.Second,
 		StopLimit:       time.Minute,
 		CheckpointLimit: 5 * time.Second,
+		LinkRate:        3660 << 10, // 30 Mbit/s
+		LinkBulkShare:   0.5,
+		LinkBulkSize:    64 << 10,
 	}
 }
 
--- a/internal/config/path.go
+++ b/internal/config/path.go
@@ -58,6 +58,9 @@
 	FieldStopDelay       Field = "stopDelay"
 	FieldStopLimit       Field = "stopLimit"
 	FieldCheckpointLimit Field = "checkpointLimit"
+	FieldLinkRate        Field = "linkRate"
+	FieldLinkBulkShare   Field = "linkBulkShare"
+	FieldLinkBulkSize    Field = "linkBulkSize"
 )
 
 // IsNamed reports whether there can be several parts of the kind.
--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -101,6 +101,9 @@
 	v.add(Path{LimitsKind, "", FieldStopDelay}, l.StopDelay.String())
 	v.add(Path{LimitsKind, "", FieldStopLimit}, l.StopLimit.String())
 	v.add(Path{LimitsKind, "", FieldCheckpointLimit}, l.CheckpointLimit.String())
+	v.add(Path{LimitsKind, "", FieldLinkRate}, l.LinkRate.String())
+	v.add(Path{LimitsKind, "", FieldLinkBulkShare}, strconv.FormatFloat(l.LinkBulkShare, 'g', -1, 64))
+	v.add(Path{LimitsKind, "", FieldLinkBulkSize}, l.LinkBulkSize.String())
 }
 
 func joined[T fmt.Stringer](list []T) string {
--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -72,7 +72,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, l),
 		fx.Provide(
-			newSelf, newLog, newPlaces, newLink, newPlatform, newPeers, newStatus, newSite, newFinder, newAgent,
+			newSelf, newLog, newPlaces, newSharing, newLink, newPlatform, newPeers, newStatus, newSite, newFinder, newAgent,
 			newShards, newRoutes, newMembers, newRelay, newRoster, newIntake, newLife,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *life) {
@@ -86,10 +86,11 @@
 func newLife(
 	self member.Info, k *site.Keeper, m *member.Service, ro *roster.Roster, r *relay.Relay,
 	in *intake.Intake, sh *shards, st *status, f *finder, t store.Table, log event.Log,
-	where *places, lc *link.Counter,
+	where *places, sg *sharing, lc *link.Counter,
 ) *life {
 	f.view, sh.deps.view, sh.deps.roster = m, m, ro
 	where.set(k, m, ro)
+	sg.set(k, m)
 	l := &life{
 		self: self, site: k, members: m, roster: ro, relay: r, shards: sh, status: st, table: t, log: log,
 		link: lc,
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -162,7 +162,8 @@
 }
 
 func newRelay(
-	t store.Table, self member.Info, k *site.Keeper, c clients, find *finder, routes *route.Table, log event.Log,
+	t store.Table, self member.Info, k *site.Keeper, c clients, find *finder, routes *route.Table, sg *sharing,
+	log event.Log,
 ) *relay.Relay {
 	settings := relay.DefaultSettings()
 	settings.Instance = self.Instance
@@ -172,8 +173,9 @@
 		Take:    claims.Take,
 		Resolve: find.resolve,
 		Send: func(ctx context.Context, e route.Endpoint, a relay.Attempt) (relay.Reply, error) {
-			return send(ctx, c.request, k, e, a)
+			return send(ctx, c.request, k, sg, e, a)
 		},
+		Share: sg.ask,
 	}, routes, settings, log)
 }
 
--- a/internal/daemon/places.go
+++ b/internal/daemon/places.go
@@ -25,8 +25,8 @@
 
 func newPlaces(s Settings) *places { return &places{settings: s} }
 
-func newLink(self member.Info, p *places, log event.Log) *link.Counter {
-	return link.NewCounter(link.Deps{Self: self.Region, RegionOf: p.regionOf, Log: log})
+func newLink(self member.Info, p *places, sg *sharing, log event.Log) *link.Counter {
+	return link.NewCounter(link.Deps{Self: self.Region, RegionOf: p.regionOf, Spend: sg.spend, Log: log})
 }
 
 func (p *places) set(k *site.Keeper, m *member.Service, r *roster.Roster) {
--- a/internal/daemon/send.go
+++ b/internal/daemon/send.go
@@ -42,7 +42,7 @@
 
 // send carries one attempt to an endpoint in the platform's protocol.
 func send(
-	ctx context.Context, c *http.Client, k *site.Keeper, e route.Endpoint, a relay.Attempt,
+	ctx context.Context, c *http.Client, k *site.Keeper, sg *sharing, e route.Endpoint, a relay.Attempt,
 ) (relay.Reply, error) {
 	service, _ := k.Current().Service(a.Service)
 	answer, err := plat.Send(ctx, c, e.Address, plat.Request{
@@ -59,6 +59,7 @@
 	case err != nil:
 		return relay.Reply{}, fmt.Errorf("endpoint %s: %w", e.Name, err)
 	}
+	sg.answered(e, a, len(answer.Body))
 	// plat.Send has compared the echo and the length.
 	return relay.Reply{
 		ID: a.ID, Attempt: a.Number, Complete: true, Leaving: answer.Leaving,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -117,7 +117,7 @@
 		return http.StatusRequestEntityTooLarge
 	case relay.ReasonIDReused:
 		return http.StatusConflict
-	case relay.ReasonOverload:
+	case relay.ReasonOverload, relay.ReasonLinkBusy:
 		return http.StatusTooManyRequests
 	case relay.ReasonAnswerTooLarge, relay.ReasonAnswerLost:
 		return http.StatusBadGateway
--- a/internal/inifmt/decode.go
+++ b/internal/inifmt/decode.go
@@ -86,6 +86,9 @@
 	l.StopDelay = optional(s, config.FieldStopDelay, l.StopDelay)
 	l.StopLimit = optional(s, config.FieldStopLimit, l.StopLimit)
 	l.CheckpointLimit = optional(s, config.FieldCheckpointLimit, l.CheckpointLimit)
+	l.LinkRate = optional(s, config.FieldLinkRate, l.LinkRate)
+	l.LinkBulkShare = optional(s, config.FieldLinkBulkShare, l.LinkBulkShare)
+	l.LinkBulkSize = optional(s, config.FieldLinkBulkSize, l.LinkBulkSize)
 }
 
 func (d *decoder) decodeGuarantee(s *section) {
--- a/internal/inifmt/schema.go
+++ b/internal/inifmt/schema.go
@@ -40,6 +40,9 @@
 	config.FieldStopDelay:       {durationAllowed + ", " + config.StopDelayRange.String(), typed(parseDuration)},
 	config.FieldStopLimit:       {durationAllowed + ", " + config.StopLimitRange.String(), typed(parseDuration)},
 	config.FieldCheckpointLimit: {durationAllowed + ", " + config.CheckpointRange.String(), typed(parseDuration)},
+	config.FieldLinkRate:        {memoryAllowed + ", " + config.LinkRateRange.String(), typed(shape.ParseBytes)},
+	config.FieldLinkBulkShare:   {config.LinkShareRange.String(), typed(parseShare)},
+	config.FieldLinkBulkSize:    {memoryAllowed + ", " + config.LinkSizeRange.String(), typed(shape.ParseBytes)},
 	addKey:                      {flagAllowed, typed(parseFlag)},
 	removeKey:                   {flagAllowed, typed(parseFlag)},
 }
@@ -59,7 +62,7 @@
 	config.OperatorKind: {config.FieldKeys},
 	config.LimitsKind: {
 		config.FieldMaxBody, config.FieldRetryShare, config.FieldStopDelay, config.FieldStopLimit,
-		config.FieldCheckpointLimit,
+		config.FieldCheckpointLimit, config.FieldLinkRate, config.FieldLinkBulkShare, config.FieldLinkBulkSize,
 	},
 }
 
--- a/internal/link/bytes.go
+++ b/internal/link/bytes.go
@@ -24,7 +24,10 @@
 		// RegionOf returns the region of an address, and false while it is
 		// not known.
 		RegionOf func(a netip.AddrPort) (ident.Region, bool)
-		Log      event.Log
+		// Spend is called with the bytes of kinds other than Request, whose
+		// senders account for it themselves. It may be nil.
+		Spend func(sent, received int)
+		Log   event.Log
 	}
 
 	// Counter counts the bytes to and from other regions. It is safe for
@@ -37,6 +40,7 @@
 
 	// volume are the bytes of one kind.
 	volume struct {
+		spend    func(sent, received int)
 		sent     *metrics.Counter
 		received *metrics.Counter
 	}
@@ -65,7 +69,12 @@
 func NewCounter(d Deps) *Counter {
 	c := &Counter{deps: d, metrics: metrics.NewSet()}
 	for k, name := range kindNames {
+		spend := d.Spend
+		if Kind(k) == Request || spend == nil {
+			spend = func(int, int) {}
+		}
 		c.kinds[k] = volume{
+			spend:    spend,
 			sent:     c.metrics.NewCounter(metricName(name, "sent")),
 			received: c.metrics.NewCounter(metricName(name, "received")),
 		}
@@ -106,6 +115,12 @@
 	}
 }
 
+func (v *volume) add(sent, received int) {
+	v.sent.Add(sent)
+	v.received.Add(received)
+	v.spend(sent, received)
+}
+
 // isRemote reports whether the address is in another region, and whether its
 // region is known.
 func (c *Counter) isRemote(a netip.AddrPort) (remote, known bool) {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -27,7 +27,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if c.crosses() {
-		c.volume.received.Add(n)
+		c.volume.add(0, n)
 	}
 	return n, err
 }
@@ -36,7 +36,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if c.crosses() {
-		c.volume.sent.Add(n)
+		c.volume.add(n, 0)
 	}
 	return n, err
 }
--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -65,6 +65,9 @@
 		StopDelay       span        `json:"stopDelay"`
 		StopLimit       span        `json:"stopLimit"`
 		CheckpointLimit span        `json:"checkpointLimit"`
+		LinkRate        shape.Bytes `json:"linkRate"`
+		LinkBulkShare   float64     `json:"linkBulkShare"`
+		LinkBulkSize    shape.Bytes `json:"linkBulkSize"`
 	}
 )
 
@@ -88,6 +91,7 @@
 		MaxBody: c.Limits.MaxBody, RetryShare: c.Limits.RetryShare,
 		StopDelay: span(c.Limits.StopDelay), StopLimit: span(c.Limits.StopLimit),
 		CheckpointLimit: span(c.Limits.CheckpointLimit),
+		LinkRate:        c.Limits.LinkRate, LinkBulkShare: c.Limits.LinkBulkShare, LinkBulkSize: c.Limits.LinkBulkSize,
 	}}
 	for _, d := range c.Domains {
 		f.Domains = append(f.Domains, domainForm(d))
@@ -109,7 +113,11 @@
 
 // DecodeConfig returns the configuration of a row value.
 func DecodeConfig(b []byte) (*config.Config, error) {
-	var f configForm
+	// A row that an earlier version wrote has no limits of the link.
+	initial := config.DefaultLimits()
+	f := configForm{Limits: limitsForm{
+		LinkRate: initial.LinkRate, LinkBulkShare: initial.LinkBulkShare, LinkBulkSize: initial.LinkBulkSize,
+	}}
 	if err := decode("configuration", b, &f); err != nil {
 		return nil, err
 	}
@@ -117,6 +125,7 @@
 		MaxBody: f.Limits.MaxBody, RetryShare: f.Limits.RetryShare,
 		StopDelay: time.Duration(f.Limits.StopDelay), StopLimit: time.Duration(f.Limits.StopLimit),
 		CheckpointLimit: time.Duration(f.Limits.CheckpointLimit),
+		LinkRate:        f.Limits.LinkRate, LinkBulkShare: f.Limits.LinkBulkShare, LinkBulkSize: f.Limits.LinkBulkSize,
 	}}
 	for _, d := range f.Domains {
 		c.Domains = append(c.Domains, config.Domain(d))
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -37,6 +37,10 @@
 // next waits until another attempt may be made. It returns the final error if
 // none may.
 func (r *Relay) next(ctx context.Context, p *passage, err error) error {
+	var h *heldError
+	if errors.As(err, &h) {
+		return r.hold(ctx, p, h)
+	}
 	final := p.failure(err)
 	notSent := errors.Is(err, ErrNotSent)
 	switch {
@@ -117,7 +121,7 @@
 	p.attempts++
 	p.attempt = Attempt{
 		Workspace: p.req.Workspace, ID: p.req.ID, Service: p.req.Service, Number: p.attempts,
-		Deadline: p.req.Deadline, Body: p.req.Body, ContentType: p.req.ContentType,
+		Class: p.req.Class, Deadline: p.req.Deadline, Body: p.req.Body, ContentType: p.req.ContentType,
 	}
 	r.log.Write(event.RequestRouted, "workspace", p.req.Workspace, "request", p.req.ID, "service", p.req.Service,
 		"endpoint", e.Name, "domain", e.Domain, "attempt", p.attempts, "reason", routeReason(p.lease.Local()))
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -2,7 +2,7 @@
 // answer back.
 //
 // The path is a chain of filters: validate, admit, claim, deliver, answer.
-// Deliver runs a second chain for each attempt: route, send, check. Front ends
+// Deliver runs a second chain for each attempt: route, share, send, check. Front ends
 // identify the caller and convert messages; this package knows no encoding.
 //
 // # Outcomes
@@ -57,6 +57,13 @@
 // attempt takes from the service's retry budget. MaxAttempts bounds all of
 // them.
 //
+// # Link between regions
+//
+// The filter share asks whether a request may cross the link to the region of
+// the endpoint now. If not, the request gives the endpoint and its place in the
+// queue back, waits, and is admitted and routed again, which may find an endpoint in its own region. That is no
+// attempt: nothing was sent.
+//
 // # Usage
 //
 //	r := relay.New(calls, routes, relay.DefaultSettings(), log)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -58,6 +58,7 @@
 		ID          ident.Request
 		Service     ident.Service
 		Number      int
+		Class       jobs.Class
 		Deadline    time.Time
 		Body        []byte
 		ContentType string
@@ -106,6 +107,7 @@
 	ReasonTooLarge        Reason = "tooLarge"
 	ReasonDeadline        Reason = "deadline"
 	ReasonOverload        Reason = "overload"
+	ReasonLinkBusy        Reason = "linkBusy"
 	ReasonNoEndpoint      Reason = "noEndpoint"
 	ReasonStoreDown       Reason = "storeDown"
 	ReasonStopping        Reason = "stopping"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,13 +19,17 @@
 
 type (
 	// Calls are the relay's connections to the rest of the system. All are
-	// required.
+	// required but for Share.
 	Calls struct {
 		// Config returns the configuration in force. It must not block.
 		Config func() *config.Config
 		// Send has the endpoint run the attempt. Its error wraps ErrNotSent,
 		// or is a *RefusedError, only if the request provably did not run.
 		Send func(ctx context.Context, e route.Endpoint, a Attempt) (Reply, error)
+		// Share tells how long the request must wait for the link to the
+		// region of e, 0 if it may be sent now. It is false if the request
+		// cannot be sent before its deadline. It may be nil: nothing waits.
+		Share func(e route.Endpoint, q Request, now time.Time) (wait time.Duration, ok bool)
 		// Resolve asks another instance for the outcome of a request that it
 		// has claimed; that instance calls its Relay.Resolve with the name of
 		// this one. The answer NotRun hands the claim over to this instance.
@@ -74,7 +79,10 @@
 		SlowAfter time.Duration
 		// StoreRetry is the hint given with a refusal while the store is down.
 		StoreRetry time.Duration
-		Backoff    limit.Backoff
+		// MaxHeld bounds the requests that wait for the link; each of them
+		// keeps its body in memory and is tried again whenever one may go.
+		MaxHeld int64
+		Backoff limit.Backoff
 	}
 
 	// Relay is the request path of one instance. It is safe for concurrent
@@ -89,8 +97,10 @@
 		flights  *shard.Map[flightKey, *flight]
 		memory   memory
 		busy     gauge
-		path     *pipe.Chain[*passage]
-		attempt  *pipe.Chain[*passage]
+		// held counts the requests that wait for the link.
+		held    atomic.Int64
+		path    *pipe.Chain[*passage]
+		attempt *pipe.Chain[*passage]
 	}
 )
 
@@ -112,6 +122,7 @@
 		MemoryBytes:    32 * shape.MiB,
 		SlowAfter:      time.Second,
 		StoreRetry:     time.Second,
+		MaxHeld:        16,
 		Backoff:        limit.DefaultBackoff(),
 	}
 }
@@ -138,6 +149,7 @@
 	)
 	r.attempt = pipe.New("attempt",
 		pipe.Filter[*passage]{Name: "route", Do: r.route},
+		pipe.Filter[*passage]{Name: "share", Do: r.share},
 		pipe.Filter[*passage]{Name: "send", Do: r.send},
 		pipe.Filter[*passage]{Name: "check", Do: r.check},
 	)
