Write the events configRefused and peerLost

Cause: events 4002 and 5005 were in the catalogue but never written, so that the log did not show who tried a change in vain or when an instance was gone. Ruled out: logging calls with a wrong key as refused changes. They name no operator, and anybody could fill the log with them. Change: the front end logs each refused change with operator, path and reason, but none whose outcome is unknown. The member view notes who answers; an instance that no longer counts as alive is logged once, and as found again when it returns. An instance that is found by a call of its own is logged too.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -96,7 +96,7 @@
 		link: lc,
 	}
 	l.callers = newServer(entry.NewHandler(entry.Deps{
-		Config: k.Current, Jobs: in, Relay: r.Do, Region: self.Region, Ready: st.isReady,
+		Config: k.Current, Jobs: in, Relay: r.Do, Region: self.Region, Ready: st.isReady, Log: log,
 		Metrics: func(w http.ResponseWriter) {
 			r.Metrics().WritePrometheus(w)
 			lc.WriteMetrics(w)
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/intake"
 	"github.com/baobabquay/baobabquay/internal/site"
@@ -64,13 +65,14 @@
 	}
 	next, err := f.deps.Admin.Parse(change.Text)
 	if err != nil {
+		f.logRefused(r, reasonConfig, err)
 		writeError(w, http.StatusUnprocessableEntity, wire.Error{
 			Outcome: wire.NotRun, Reason: reasonConfig, Detail: err.Error(),
 		})
 		return
 	}
 	accepted, err := f.deps.Admin.Apply(r.Context(), change.Base, next)
-	f.writeChange(w, accepted, err)
+	f.writeChange(w, r, accepted, err)
 }
 
 func (f *front) setDomain(w http.ResponseWriter, r *http.Request) {
@@ -86,20 +88,22 @@
 	}
 	name := ident.Domain(mux.Vars(r)["name"])
 	accepted, err := f.deps.Admin.SetDomain(r.Context(), name, *change.InService)
-	f.writeChange(w, accepted, err)
+	f.writeChange(w, r, accepted, err)
 }
 
 // writeChange answers a change of the configuration.
-func (f *front) writeChange(w http.ResponseWriter, accepted *config.Config, err error) {
+func (f *front) writeChange(w http.ResponseWriter, r *http.Request, accepted *config.Config, err error) {
 	var conflict *site.ConflictError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, wire.Accepted{Version: accepted.Version})
 	case errors.Is(err, ErrNoDomain):
+		f.logRefused(r, string(intake.ReasonNotFound), err)
 		writeError(w, http.StatusNotFound, wire.Error{
 			Outcome: wire.NotRun, Reason: string(intake.ReasonNotFound), Detail: err.Error(),
 		})
 	case errors.As(err, &conflict):
+		f.logRefused(r, reasonConflict, err)
 		writeError(w, http.StatusConflict, wire.Error{
 			Outcome: wire.NotRun, Reason: reasonConflict, Detail: err.Error(),
 		})
@@ -108,12 +112,20 @@
 			Outcome: wire.Unknown, Reason: string(intake.ReasonLost), Detail: err.Error(),
 		})
 	default:
+		f.logRefused(r, string(intake.ReasonStore), err)
 		writeError(w, http.StatusServiceUnavailable, wire.Error{
 			Outcome: wire.NotRun, Reason: string(intake.ReasonStore), Detail: err.Error(),
 		})
 	}
 }
 
+// logRefused writes that a change of the configuration was refused. A change
+// whose outcome is unknown is none of these.
+func (f *front) logRefused(r *http.Request, reason string, err error) {
+	o, _ := f.deps.Config().OperatorOfKey(bearer(r))
+	f.deps.Log.Write(event.ConfigRefused, "operator", o.Name, "path", r.URL.Path, "reason", reason, "detail", err.Error())
+}
+
 func (f *front) status(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, f.deps.Admin.Status())
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -58,7 +59,7 @@
 
 // newHandler returns the handlers over a table in memory. Requests to the
 // service proof find no endpoint.
-func newHandler(t *testing.T, table store.Table) http.Handler {
+func newHandler(t *testing.T, table store.Table, log event.Log) http.Handler {
 	c := testSite(t)
 	capacity := shape.Resources{Accelerators: 8, Processors: 60, Memory: 256 * shape.GiB}
 	workers := []fleet.Worker{{Spec: worker.Spec{ID: "w1", Domain: "ub1", Rack: "r1", Capacity: capacity}, Free: capacity}}
@@ -66,7 +67,7 @@
 		Config: func() *config.Config { return c },
 	}, route.New(route.DefaultSettings()), relay.DefaultSettings(), event.Discard())
 	return NewHandler(Deps{
-		Config: func() *config.Config { return c }, Region: "ulaanbaatar", Ready: func() bool { return false },
+		Config: func() *config.Config { return c }, Region: "ulaanbaatar", Ready: func() bool { return false }, Log: log,
 		Relay: r.Do,
 		Jobs: intake.New(intake.Deps{
 			Table: table, Objects: fakes.NewObjects().Store(), Config: func() *config.Config { return c },
@@ -143,7 +144,7 @@
 func testBadCalls(t *testing.T) {
 	b, err := os.ReadFile("testdata/calls.txt")
 	assert.NilError(t, err)
-	h := newHandler(t, fakes.NewTable().Store())
+	h := newHandler(t, fakes.NewTable().Store(), event.Discard())
 	var all strings.Builder
 	for block := range strings.SplitSeq(string(b), "\n---\n") {
 		r, err := badCall(block)
@@ -160,7 +161,7 @@
 // TestChangeOutcomes guards against a change of the configuration that is
 // reported as not run although it may have been accepted.
 func TestChangeOutcomes(t *testing.T) {
-	h := newHandler(t, fakes.NewTable().Store())
+	h := newHandler(t, fakes.NewTable().Store(), event.Discard())
 	text := string(golden.Get(t, "site.ini"))
 	for base, want := range map[int]string{
 		1: "200 done", 2: "503 unknown", 3: "503 notRun", 4: "409 notRun",
@@ -173,3 +174,29 @@
 		assert.Equal(t, fmt.Sprintf("%d %s", w.Code, w.Header().Get(wire.HeaderOutcome)), want)
 	}
 }
+
+// TestRefusedChanges guards against a refused change of the configuration that
+// leaves no trace, and against one logged as refused that may be in force.
+func TestRefusedChanges(t *testing.T) {
+	var out strings.Builder
+	h := newHandler(t, fakes.NewTable().Store(), event.New(funcr.New(func(_, args string) {
+		fmt.Fprintf(&out, "  %s\n", args)
+	}, funcr.Options{})))
+	text := string(golden.Get(t, "site.ini"))
+	for _, call := range []struct{ path, key, body string }{
+		{"/config", operator, fmt.Sprintf(`{"base":1,"text":%q}`, text)},
+		{"/config", operator, fmt.Sprintf(`{"base":2,"text":%q}`, text)},
+		{"/config", operator, fmt.Sprintf(`{"base":3,"text":%q}`, text)},
+		{"/config", operator, fmt.Sprintf(`{"base":4,"text":%q}`, text)},
+		{"/config", operator, `{"base":1,"text":"[site]\nname = a b"}`},
+		{"/config", keyA, fmt.Sprintf(`{"base":4,"text":%q}`, text)},
+		{"/domains/ub9", operator, `{"inService":false}`},
+	} {
+		r := httptest.NewRequest(http.MethodPut, wire.PathAdmin+call.path, strings.NewReader(call.body))
+		r.Header.Set("Authorization", "Bearer "+call.key)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		fmt.Fprintf(&out, "%s %d\n", call.path, w.Code)
+	}
+	golden.Assert(t, out.String(), "refused.golden")
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/config"
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/intake"
 	"github.com/baobabquay/baobabquay/internal/jobs"
@@ -30,6 +31,7 @@
 		// Metrics writes the metrics.
 		Metrics func(w http.ResponseWriter)
 		Admin   Admin
+		Log     event.Log
 	}
 
 	// Admin are the calls of operators.
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -83,7 +83,9 @@
 }
 
 func (s *Service) take(from State) {
-	s.heard(from, time.Now())
+	if s.heard(from, time.Now()) {
+		s.deps.Log.Write(event.PeerFound, "peer", from.Instance)
+	}
 	if s.deps.Received != nil {
 		s.deps.Received(from)
 	}
@@ -106,6 +108,15 @@
 		calls.Go(func() { s.exchange(ctx, p) })
 	}
 	calls.Wait()
+	s.reportLost(time.Now())
+}
+
+// reportLost writes which instances no longer answer. It comes before the
+// view forgets those whose rows are gone.
+func (s *Service) reportLost(now time.Time) {
+	for _, p := range s.lost(now) {
+		s.deps.Log.Write(event.PeerLost, "peer", p.Instance, "silent", now.Sub(p.Heard), "stopping", p.State.Stopping)
+	}
 }
 
 func (s *Service) exchange(ctx context.Context, p Peer) {
@@ -115,9 +126,6 @@
 	if err != nil {
 		return
 	}
-	if p.Heard.IsZero() {
-		s.deps.Log.Write(event.PeerFound, "peer", p.Instance)
-	}
 	s.take(answer)
 }
 
@@ -134,7 +142,9 @@
 		}
 		seen = append(seen, sighted{info: Info(m), version: r.Version})
 	}
-	return s.clean(ctx, s.observe(seen, time.Now()))
+	now := time.Now()
+	s.reportLost(now)
+	return s.clean(ctx, s.observe(seen, now))
 }
 
 // clean deletes the rows of instances that are gone. The check on the version
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -53,6 +53,9 @@
 		Changed time.Time
 
 		version int64
+		// answers is true from an exchange that worked until the instance no
+		// longer counts as alive.
+		answers bool
 	}
 
 	// View is the set of known instances. It is safe for concurrent use.
@@ -113,17 +116,36 @@
 	return old
 }
 
-// heard takes what an instance told of itself.
-func (v *View) heard(s State, now time.Time) {
+// heard takes what an instance told of itself. It reports whether the instance
+// did not answer before.
+func (v *View) heard(s State, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p, ok := v.peers[s.Instance]
 	if !ok {
-		return
+		return false
 	}
+	isNew := !p.answers
 	s.Config = nil
-	p.State, p.Heard = s, now
+	p.State, p.Heard, p.answers = s, now, true
 	v.peers[s.Instance] = p
+	return isNew
+}
+
+// lost returns the instances that answered and no longer count as alive, each
+// of them once.
+func (v *View) lost(now time.Time) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var lost []Peer
+	for i, p := range v.peers {
+		if p.answers && !p.isLive(now) {
+			lost = append(lost, p)
+			p.answers = false
+			v.peers[i] = p
+		}
+	}
+	return lost
 }
 
 // Live returns the other instances that count as alive, ordered by name.
