--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -53,6 +53,9 @@
 		Changed time.Time
 
 		version int64
+		// answers is true from an exchange that worked until the instance no
+		// longer counts as alive.
+		answers bool
 	}
 
 	// View is the set of known instances. It is safe for concurrent use.
@@ -114,17 +117,37 @@
 	return old
 }
 
-// heard takes what an instance told of itself.
-func (v *View) heard(s State, now time.Time) {
+// heard takes what an instance told of itself. It reports whether the instance
+// did not answer before.
+func (v *View) heard(s State, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p, ok := v.peers[s.Instance]
 	if !ok {
-		return
+		return false
 	}
+	isNew := !p.answers
 	s.Config = nil
-	p.State, p.Heard = s, now
+	p.State, p.Heard, p.answers = s, now, true
 	v.peers[s.Instance] = p
+	return isNew
+}
+
+// lost returns the instances that answered and no longer count as alive, each
+// of them once.
+func (v *View) lost(now time.Time) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	heard := heardFor * v.period()
+	var lost []Peer
+	for i, p := range v.peers {
+		if p.answers && !p.isLive(now, heard) {
+			lost = append(lost, p)
+			p.answers = false
+			v.peers[i] = p
+		}
+	}
+	return lost
 }
 
 // Live returns the other instances that count as alive, ordered by name.
@@ -152,6 +175,18 @@
 	return p, ok
 }
 
+// RegionOf returns the region of the instance with the given peer address.
+func (v *View) RegionOf(a netip.AddrPort) (ident.Region, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.peers {
+		if p.Peer == a {
+			return p.Region, true
+		}
+	}
+	return "", false
+}
+
 // Rank returns the place of this instance in the order in which live instances
 // should take the shard of a domain, 0 for the first. The order is by
 // rendezvous hashing among those in the domain, then those in its region, then
