Start the next attempt only after the last one can no longer run

Cause: a gang was put back in the queue as soon as the workers that answered had stopped it. If another member was the reason (a lost or failed task, a reclaim), a silent worker kept its task for the rest of its lease. Silence was also counted from the last answer, though a beat or renewal whose answer is lost extends the lease. In both cases the next attempt started while a part of the last one ran. After a stop, and after the loss of one task, the saved progress and the failure were forgotten, because the reports no longer told of them. Ruled out: fencing by epoch. Both attempts are of the same owner. Renewing silent workers as before with a longer wait: it keeps the other members running 3 s longer for nothing. Change: a take-down, cancellation or reclaim is recorded when each worker has stopped the attempt or has been out of reach for a lease since the last call that could extend it. Silent workers get no renewals. What was learnt of an attempt is kept until its record is written.

--- a/internal/gang/judge.go
+++ b/internal/gang/judge.go
@@ -16,6 +16,9 @@
 		Answered bool
 		// Seen is the instant of the last answer.
 		Seen time.Time
+		// Extended is the last instant at which a call without an answer can
+		// have extended the leases of the tasks.
+		Extended time.Time
 		// Present reports whether the last answer named the attempt.
 		Present bool
 		Status  worker.Status
@@ -99,7 +102,8 @@
 func (v *Verdict) judgeMember(now time.Time, j jobs.Job, w ident.Worker, s Sight) string {
 	if !s.Answered {
 		v.Answered = false
-		if silent := now.Sub(s.Seen); silent >= Lease {
+		// A task may run for one lease after the last call that reached it.
+		if silent := now.Sub(s.Seen); silent >= Lease && now.Sub(s.Extended) >= Lease {
 			return fmt.Sprintf("worker %s has not answered for %v", w, silent.Round(time.Second))
 		}
 		if now.Sub(s.Seen) > Fresh {
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -181,10 +181,11 @@
 	_ = s.onAll(h.job, func(w ident.Worker, _, _ int) error { return s.checkpointOn(ctx, r, h.job, w) })
 	s.refresh(ctx, r, h.job)
 	v := s.judge(r, h.job)
+	v.Reason, v.FailedOn = a.Reason, nil
+	v = s.find(h.job, v)
 	if !s.stopAll(ctx, r, h.job) {
 		return
 	}
-	v.Reason, v.FailedOn = a.Reason, nil
 	s.deps.Log.Write(event.JobReclaimed, "workspace", h.job.Workspace, "job", h.job.ID,
 		"domain", s.deps.Domain, "reason", a.Reason, "lost", (v.Progress - v.Saved).String())
 	s.requeue(ctx, r, h, v)
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -52,7 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, t := range s.workers {
-		if !listed[id] && now.Sub(t.seen) >= gang.Lease {
+		if !listed[id] && now.Sub(t.ranUntil()) >= gang.Lease {
 			delete(s.workers, id)
 		}
 	}
@@ -98,6 +98,9 @@
 	for _, h := range s.placed() {
 		v := s.judge(r, h.job)
 		r.verdicts[keyOf(h.job)] = v
+		if v.Complete {
+			s.find(h.job, gang.Verdict{Saved: v.Saved})
+		}
 		if v.Complete && v.Answered {
 			complete[attemptOf(h.job)] = true
 		}
@@ -133,6 +136,7 @@
 		report, err := t.agent.Beat(ctx, worker.Beat{
 			Header: s.header(r), Boot: t.report.Boot, Changes: t.report.Changes, Lease: gang.Lease,
 		})
+		s.noteExtended(t.spec.ID)
 		if err != nil {
 			return worker.Report{}, fmt.Errorf("beat: %w", err)
 		}
@@ -221,7 +225,7 @@
 		// The platform does not list the worker and it was never heard.
 		return gang.Sight{Seen: s.since}
 	}
-	sight := gang.Sight{Answered: t.answered && t.fenced, Seen: t.seen}
+	sight := gang.Sight{Answered: t.answered && t.fenced, Seen: t.seen, Extended: t.extended}
 	if st, ok := t.statuses[attemptOf(j)]; ok {
 		sight.Present, sight.Status = true, st
 		sight.Status.Progress += t.since(st)
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -137,9 +137,7 @@
 	defer s.mu.Unlock()
 	for k := range s.jobs {
 		if !present[k] {
-			delete(s.jobs, k)
-			delete(s.waits, k)
-			delete(s.aborted, k)
+			s.dropLocked(k)
 		}
 	}
 }
@@ -195,7 +193,12 @@
 func (s *Shard) drop(k jobKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropLocked(k)
+}
+
+func (s *Shard) dropLocked(k jobKey) {
 	delete(s.jobs, k)
 	delete(s.waits, k)
 	delete(s.aborted, k)
+	delete(s.findings, k)
 }
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -89,6 +89,7 @@
 // takeDown stops all members and puts the job back in the queue, or ends it if
 // it has failed too often.
 func (s *Shard) takeDown(ctx context.Context, r *round, h held, v gang.Verdict) {
+	v = s.find(h.job, v)
 	if !s.stopAll(ctx, r, h.job) {
 		return
 	}
@@ -158,9 +159,9 @@
 	s.stopAll(ctx, r, h.job)
 }
 
-// stopAll stops the attempt on all workers of the job. It returns false if a
-// worker that answers has not stopped it; a silent worker's tasks end by
-// themselves, and the verdict has waited for that.
+// stopAll stops the attempt on all workers of the job. It returns false if it
+// can still run on one of them: a task on a worker that cannot be reached ends
+// with its lease.
 func (s *Shard) stopAll(ctx context.Context, r *round, j jobs.Job) bool {
 	ok := true
 	var mu sync.Mutex
@@ -168,7 +169,7 @@
 	for _, slot := range j.Slots {
 		calls.Go(func() {
 			err := s.stopOn(ctx, r, slot.Worker, []worker.Attempt{attemptOf(j)})
-			if err != nil && s.answers(slot.Worker) {
+			if err != nil && s.canRunOn(slot.Worker) {
 				mu.Lock()
 				ok = false
 				mu.Unlock()
@@ -193,13 +194,6 @@
 	return nil
 }
 
-func (s *Shard) answers(id ident.Worker) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t, ok := s.workers[id]
-	return ok && t.answered
-}
-
 // stopOrphans stops the attempts that no record of a job names. Only this
 // owner starts attempts, and it does so later in the round, so an attempt
 // that is not recorded now is left over.
--- a/internal/owner/renew.go
+++ b/internal/owner/renew.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		for _, slot := range h.job.Slots {
-			if s.isRenewed(slot.Worker) {
+			if !s.needsRenewal(slot.Worker) {
 				continue
 			}
 			attempts[slot.Worker] = append(attempts[slot.Worker], attemptOf(h.job))
@@ -43,6 +43,7 @@
 	defer cancel()
 	// A renewal that is lost is repeated in the next round.
 	err := agent.Renew(ctx, worker.Renew{Header: s.header(r), Attempts: as, Lease: gang.Lease})
+	s.noteExtended(id)
 	s.lostEpoch(err)
 }
 
@@ -62,6 +63,16 @@
 	return ok && t.answered && t.renewed
 }
 
+// needsRenewal reports whether the worker answered in this round and its leases
+// are not extended yet. A silent worker is left alone: a renewal that reaches
+// it unheard would only delay the next attempt of its gangs.
+func (s *Shard) needsRenewal(id ident.Worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.workers[id]
+	return ok && t.answered && t.fenced && !t.renewed
+}
+
 // placed returns the jobs that hold workers.
 func (s *Shard) placed() []held {
 	s.mu.Lock()
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -61,10 +61,12 @@
 		// aborted is the highest attempt of a job that was given up before its
 		// start was recorded. Workers refuse its number from then on.
 		aborted map[jobKey]int
-		summary sched.Summary
-		ready   bool
-		storeUp bool
-		outrank time.Time
+		// findings are what is known of the present attempts of placed jobs.
+		findings map[jobKey]finding
+		summary  sched.Summary
+		ready    bool
+		storeUp  bool
+		outrank  time.Time
 		// complete are the attempts that the last round, at judged, found
 		// complete with all workers answering.
 		complete map[worker.Attempt]bool
@@ -89,6 +91,9 @@
 		reported time.Time
 		seen     time.Time
 		answered bool
+		// extended is the end of the last call that could extend leases, with
+		// an answer or without.
+		extended time.Time
 		// renewed tells that the last call has extended the leases of all
 		// tasks of the worker.
 		renewed bool
@@ -268,6 +273,7 @@
 	s.head, s.scanned = 0, false
 	s.waits = make(map[jobKey]string)
 	s.aborted = make(map[jobKey]int)
+	s.findings = make(map[jobKey]finding)
 	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
 	s.ready = false
 	s.outrank = time.Time{}
