Renew the leases while a round is still at work

Cause: the lease of the shard and those of the tasks were renewed only at the beginning of a round. Checkpoints (5 s by default), a wave of cancellations or a slow store made a round longer than the shard's lease (4 s), and it changed hands although its owner was well. The write of a result above 4 KiB had no time limit, so an object store that hangs stopped the shard for good and with it all running gangs. Silence of a worker was judged at the instant the round began, which a slow store makes seconds older. Ruled out: a limit on the round alone. One checkpoint takes longer than the lease, and work that is cut off is repeated. A loop of its own for renewals: it needs its own epoch and would race the filters that reset the shard. Change: from after the first renewal to the end of a round, the lease is renewed and workers are asked and renewed at the usual pace; a lost lease ends the round. Results get 2 s, settling ends 1 s after it began and goes on in the next round, 64 jobs are read at once, and reports that overtake each other are dropped.

--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -34,7 +34,7 @@
 		byKey[keyOf(a.Job)] = a
 		all = append(all, h)
 	}
-	return each(all, func(h held) error {
+	return each(all, actLimit, func(h held) error {
 		s.perform(ctx, r, h, byKey[keyOf(h.job)])
 		return nil
 	})
@@ -180,7 +180,7 @@
 	// A checkpoint that fails costs progress but must not hold the reclaim up.
 	_ = s.onAll(h.job, func(w ident.Worker, _, _ int) error { return s.checkpointOn(ctx, r, h.job, w) })
 	s.refresh(ctx, r, h.job)
-	v := s.judge(r, h.job)
+	v := s.judge(h.job)
 	v.Reason, v.FailedOn = a.Reason, nil
 	v = s.find(h.job, v)
 	if !s.stopAll(ctx, r, h.job) {
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -18,12 +17,7 @@
 // the reports of all.
 func (s *Shard) observe(ctx context.Context, r *round) error {
 	s.track(r.now)
-	steady := s.steady(r)
-	var calls sync.WaitGroup
-	for _, t := range s.snapshot() {
-		calls.Go(func() { s.ask(ctx, r, t, steady[t.spec.ID]) })
-	}
-	calls.Wait()
+	s.askAll(ctx, r)
 	if !s.deps.Lease.State().Held {
 		s.lose("a worker has accepted a higher epoch")
 		return errNotOwner
@@ -73,11 +67,11 @@
 // last round found complete, so that one call may renew all leases of the
 // worker. A worker that differs from what is known here renews nothing and
 // reports instead. Evidence older than gang.Fresh counts for nothing.
-func (s *Shard) steady(r *round) map[ident.Worker]bool {
+func (s *Shard) steady() map[ident.Worker]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	steady := make(map[ident.Worker]bool, len(s.workers))
-	if r.now.Sub(s.judged) > gang.Fresh {
+	if time.Since(s.judged) > gang.Fresh {
 		return steady
 	}
 	for id, t := range s.workers {
@@ -96,7 +90,7 @@
 	r.verdicts = make(map[jobKey]gang.Verdict)
 	complete := make(map[worker.Attempt]bool)
 	for _, h := range s.placed() {
-		v := s.judge(r, h.job)
+		v := s.judge(h.job)
 		r.verdicts[keyOf(h.job)] = v
 		if v.Complete {
 			s.find(h.job, gang.Verdict{Saved: v.Saved})
@@ -112,8 +106,8 @@
 }
 
 // judge returns the verdict about a job that holds workers.
-func (s *Shard) judge(r *round, j jobs.Job) gang.Verdict {
-	return gang.Judge(r.now, j, func(w ident.Worker) gang.Sight { return s.see(j, w) })
+func (s *Shard) judge(j jobs.Job) gang.Verdict {
+	return gang.Judge(time.Now(), j, func(w ident.Worker) gang.Sight { return s.see(j, w) })
 }
 
 func (s *Shard) ask(ctx context.Context, r *round, t tracked, steady bool) {
@@ -159,7 +153,7 @@
 func (s *Shard) noteAnswer(r *round, t tracked, report worker.Report) {
 	s.mu.Lock()
 	w, ok := s.workers[t.spec.ID]
-	if !ok || s.epoch != r.lease.Epoch {
+	if !ok || s.epoch != r.lease.Epoch || isOlder(report, w.report) {
 		s.mu.Unlock()
 		return
 	}
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -12,6 +12,11 @@
 	"github.com/pkg/errors"
 )
 
+// loadLimit is the number of jobs that are read at once. A wave of changes must
+// pass within the time of a round: the store takes two thousand reads a second
+// and is 20 ms away.
+const loadLimit = 64
+
 // read reads the configuration. It comes after observe, so that the ticks of
 // the reports prove how recent it is.
 func (s *Shard) read(ctx context.Context, r *round) error {
@@ -63,7 +68,7 @@
 		}
 		stale = append(stale, k)
 	}
-	if err := each(stale, func(k jobKey) error { return s.load(ctx, r, k) }); err != nil {
+	if err := each(stale, loadLimit, func(k jobKey) error { return s.load(ctx, r, k) }); err != nil {
 		return err
 	}
 	s.forget(present)
@@ -77,7 +82,7 @@
 func (s *Shard) judgeChanged(r *round, changed []jobKey) {
 	for _, k := range changed {
 		if h, ok := s.heldJob(k); ok && h.job.State.Placed() {
-			r.verdicts[k] = s.judge(r, h.job)
+			r.verdicts[k] = s.judge(h.job)
 		}
 	}
 }
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/gang"
@@ -14,18 +15,32 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// maxRowResult is the largest result in bytes that is kept in the job's row.
-const maxRowResult = 4 << 10
+const (
+	// maxRowResult is the largest result in bytes that is kept in the job's row.
+	maxRowResult = 4 << 10
+	// settleTime is the time of a round after which no more jobs are settled,
+	// so that waiting jobs are placed while many end. The next round goes on.
+	settleTime = time.Second
+	// resultTimeout bounds the write of a result to the object store.
+	resultTimeout = 2 * time.Second
+)
 
 // reconcile brings the records of the jobs and the tasks on the workers into
 // agreement. A job whose change fails is judged again in the next round.
 func (s *Shard) reconcile(ctx context.Context, r *round) error {
 	s.stopOrphans(ctx, r)
-	_ = each(s.unsettled(r), func(h held) error {
+	until := time.Now().Add(settleTime)
+	_ = each(s.unsettled(r), actLimit, func(h held) error {
+		if time.Now().After(until) {
+			return nil
+		}
 		s.apply(ctx, r, h, r.verdicts[keyOf(h.job)])
 		return nil
 	})
-	_ = each(s.cancelled(), func(h held) error {
+	_ = each(s.cancelled(), actLimit, func(h held) error {
+		if time.Now().After(until) {
+			return nil
+		}
 		s.end(ctx, r, h, jobs.Cancelled, "cancelled by the caller", nil)
 		return nil
 	})
@@ -45,11 +60,11 @@
 	return all
 }
 
-// each calls f for all values, at most actLimit at once, and returns the first
+// each calls f for all values, at most limit at once, and returns the first
 // error.
-func each[T any](all []T, f func(T) error) error {
+func each[T any](all []T, limit int, f func(T) error) error {
 	var group errgroup.Group
-	group.SetLimit(actLimit)
+	group.SetLimit(limit)
 	for _, v := range all {
 		group.Go(func() error { return f(v) })
 	}
@@ -146,7 +161,7 @@
 		return
 	}
 	if len(result) > maxRowResult {
-		if err := s.deps.Objects.Put(ctx, record.ResultKey(next.Workspace, next.ID), result); err != nil {
+		if s.storeResult(ctx, next, result) != nil {
 			return
 		}
 		next.Result, next.ResultStored = nil, true
@@ -159,6 +174,16 @@
 	s.stopAll(ctx, r, h.job)
 }
 
+// storeResult writes a result that is too large for the row.
+func (s *Shard) storeResult(ctx context.Context, j jobs.Job, result []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
+	defer cancel()
+	if err := s.deps.Objects.Put(ctx, record.ResultKey(j.Workspace, j.ID), result); err != nil {
+		return fmt.Errorf("store result of job %s: %w", j.ID, err)
+	}
+	return nil
+}
+
 // stopAll stops the attempt on all workers of the job. It returns false if it
 // can still run on one of them: a task on a worker that cannot be reached ends
 // with its lease.
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -35,6 +35,8 @@
 		workers []*fakes.Worker
 		site    *site.Keeper
 		intake  *intake.Intake
+		// wrap, if not nil, changes the calls to a worker.
+		wrap func(a worker.Agent) worker.Agent
 	}
 
 	// instance is one owner candidate of the domain.
@@ -97,7 +99,7 @@
 			}
 			return specs
 		},
-		Agent:  func(s worker.Spec) worker.Agent { return g.worker(s.ID).Agent() },
+		Agent:  func(s worker.Spec) worker.Agent { return g.agent(s.ID) },
 		Read:   g.site.Read,
 		Policy: sched.Default(),
 		Peers:  func() []sched.Peer { return nil },
@@ -110,6 +112,14 @@
 	return &instance{shard: shard, cancel: cancel}
 }
 
+func (g *rig) agent(id ident.Worker) worker.Agent {
+	a := g.worker(id).Agent()
+	if g.wrap != nil {
+		return g.wrap(a)
+	}
+	return a
+}
+
 func (g *rig) worker(id ident.Worker) *fakes.Worker {
 	i := slices.IndexFunc(g.workers, func(w *fakes.Worker) bool { return w.Machine.Spec().ID == id })
 	return g.workers[i]
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -130,6 +130,10 @@
 		verdicts map[jobKey]gang.Verdict
 		// actions are what the policy decided.
 		actions []sched.Action
+		// stop ends the round early, and tending are the calls that go on
+		// until its end.
+		stop    context.CancelFunc
+		tending sync.WaitGroup
 	}
 )
 
@@ -171,6 +175,7 @@
 		pipe.Filter[*round]{Name: "observe", Do: s.observe},
 		pipe.Filter[*round]{Name: "judge", Do: s.judgeAll},
 		pipe.Filter[*round]{Name: "renew", Do: s.renew},
+		pipe.Filter[*round]{Name: "tend", Do: s.tend},
 		pipe.Filter[*round]{Name: "read", Do: s.read},
 		pipe.Filter[*round]{Name: "queue", Do: s.queue},
 		pipe.Filter[*round]{Name: "reconcile", Do: s.reconcile},
@@ -202,13 +207,28 @@
 			return roundEvery
 		}
 	}
-	paced := time.Second * time.Duration(len(s.workers)) / callsPerSecond
-	return min(max(paced, roundEvery), roundSlowest)
+	return s.pacedLocked()
+}
+
+// paced returns the period at which all workers can be called.
+func (s *Shard) paced() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pacedLocked()
+}
+
+func (s *Shard) pacedLocked() time.Duration {
+	period := time.Second * time.Duration(len(s.workers)) / callsPerSecond
+	return min(max(period, roundEvery), roundSlowest)
 }
 
 // Round performs one round and returns the error that ended it, if any.
 func (s *Shard) Round(ctx context.Context) error {
-	err := s.chain.Run(ctx, &round{now: time.Now()})
+	ctx, stop := context.WithCancel(ctx)
+	r := &round{now: time.Now(), stop: stop}
+	err := s.chain.Run(ctx, r)
+	stop()
+	r.tending.Wait()
 	s.noteStore(err)
 	return err
 }
