Take a lease above the epoch that a worker remembers

Cause: a worker whose epoch is higher than that of the lease row made the owner drop the lease, read its own name in the row, hold the same epoch again and drop it in the next round. One worker that came from another domain without a restart, or a row that was lost, so kept a whole domain without an owner. Ruled out: leaving that worker aside. The owner cannot tell it from one that was fenced by a new owner until it has read the row. Change: the keeper remembers the highest epoch that a worker named, and takes the lease above it when the row still names this instance. A refused fence is followed by a report, which names the epoch.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -23,6 +23,8 @@
 		mu    sync.Mutex
 		state State
 		seen  sighting
+		// outbid is the highest epoch that a worker named.
+		outbid int64
 	}
 
 	// State is the lease as an instance knows it.
@@ -119,6 +121,22 @@
 // Lost tells the keeper that a worker or the store has shown a higher epoch.
 func (k *Keeper) Lost() { k.drop() }
 
+// Outbid is Lost with the epoch that a worker has accepted. The next holder
+// takes a higher one, so that a worker which remembers an epoch that the row
+// never had cannot keep the shard without an owner.
+func (k *Keeper) Outbid(epoch int64) {
+	k.drop()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.outbid = max(k.outbid, epoch)
+}
+
+func (k *Keeper) highestBid() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.outbid
+}
+
 func (k *Keeper) drop() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -153,6 +171,9 @@
 		return State{}, err
 	}
 	if seen.present && seen.form.Holder == k.instance && !seen.form.Released {
+		if k.highestBid() > seen.form.Epoch {
+			return k.take(ctx, now, seen)
+		}
 		// The answer to an earlier take was lost.
 		return k.hold(seen.lease.Version, seen.form.Epoch, now), nil
 	}
@@ -172,7 +193,7 @@
 }
 
 func (k *Keeper) take(ctx context.Context, now time.Time, seen sighting) (State, error) {
-	epoch := seen.form.Epoch + 1
+	epoch := max(seen.form.Epoch, k.highestBid()) + 1
 	value, err := record.EncodeLease(record.Lease{Holder: k.instance, Epoch: epoch})
 	if err != nil {
 		return State{}, fmt.Errorf("take lease of %s: %w", k.domain, err)
--- /dev/null
+++ b/internal/owner/lease_test.go
@@ -0,0 +1,26 @@
+package owner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/worker"
+	"gotest.tools/v3/assert"
+)
+
+// TestHigherEpoch guards against one worker that remembers a higher epoch than
+// the lease, because it served another domain or the row was lost, and so keeps
+// the owner of the whole domain from working.
+func TestHigherEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t, 4)
+		_, err := g.workers[3].Machine.Fence(worker.Fence{Header: worker.Header{Epoch: 1000}}, time.Now())
+		assert.NilError(t, err)
+		g.start("i1", 0)
+		j := g.submit("a", 4, `{"runFor":"5s","result":"proof"}`)
+		assert.Equal(t, g.wait(j.ID, 20*time.Second).State, jobs.Done)
+		assert.Assert(t, g.takes() <= 2, "%d takes", g.takes())
+	})
+}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -115,8 +115,16 @@
 	defer cancel()
 	report, err := s.call(ctx, r, t, steady)
 	switch {
-	case worker.RefusedFor(err) == worker.ReasonEpoch, err == nil && report.Epoch > r.lease.Epoch:
-		s.deps.Lease.Lost()
+	case worker.RefusedFor(err) == worker.ReasonEpoch:
+		// A report is not refused and names the epoch.
+		if report, err = t.agent.Report(ctx); err != nil {
+			s.deps.Lease.Lost()
+			return
+		}
+		s.deps.Lease.Outbid(report.Epoch)
+		return
+	case err == nil && report.Epoch > r.lease.Epoch:
+		s.deps.Lease.Outbid(report.Epoch)
 		return
 	case err != nil:
 		s.noteSilent(t, err)
