Start the wait for a lease anew after a gap in the reads

Cause: an instance that watches a lease counted the time of a store outage as time without a renewal. When the store came back, its first read found the same version as before the outage, and it took the lease from an owner that was well and had not had the time to renew. All shards could change hands at once, each with a new fencing of its workers, right when the store comes back. Ruled out: starting anew after each failed read. A store that fails one call in three would then put off every takeover. Change: the wait starts anew when the last read is a TTL or more old. The same holds for an instance that was paused and for one that was not among the watchers.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -45,6 +45,7 @@
 		form    record.Lease
 		beat    store.Row
 		since   time.Time
+		at      time.Time // instant of the last read
 		present bool
 	}
 )
@@ -239,7 +240,7 @@
 	if err != nil {
 		return sighting{}, fmt.Errorf("read beat of %s: %w", k.domain, err)
 	}
-	s := sighting{lease: leaseRow, beat: beatRow, since: now, present: leaseRow.Version != 0}
+	s := sighting{lease: leaseRow, beat: beatRow, since: now, at: now, present: leaseRow.Version != 0}
 	if s.present {
 		if s.form, err = record.DecodeLease(leaseRow.Value); err != nil {
 			return sighting{}, fmt.Errorf("read lease of %s: %w", k.domain, err)
@@ -248,7 +249,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	old := k.seen
-	if !old.since.IsZero() && old.lease.Version == s.lease.Version && old.beat.Version == s.beat.Version {
+	// A gap in the reads is no evidence against the holder: while the store is
+	// down it cannot renew either.
+	seenOn := !old.since.IsZero() && now.Sub(old.at) < TTL
+	if seenOn && old.lease.Version == s.lease.Version && old.beat.Version == s.beat.Version {
 		s.since = old.since
 	}
 	k.seen = s
--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/worker"
 	"gotest.tools/v3/assert"
@@ -24,3 +25,22 @@
 		assert.Assert(t, g.takes() <= 2, "%d takes", g.takes())
 	})
 }
+
+// TestStoreReturns guards against shards that change hands because the store
+// was down: the owner could not renew then, and nobody else could see it.
+func TestStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t, 4)
+		g.start("i1", 0)
+		g.start("i2", 1)
+		g.start("i3", 2)
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			g.table.Faults.Set(fakes.Fault{Kind: fakes.Down})
+			time.Sleep(20*time.Second + 130*time.Millisecond)
+			g.table.Faults.Clear()
+			time.Sleep(10 * time.Second)
+		}
+		assert.Equal(t, g.takes(), 1, "the shard changed hands")
+	})
+}
