Leave a job whose row cannot be decoded and go on with the others

Cause: one row in the queue that cannot be decoded ended every round of its shard before jobs were settled or placed. A program of the next version may write states or classes that this one does not know, so this can happen while instances are replaced one by one. Ruled out: ending or deleting the job. Another instance may be able to read it. While the row cannot be read, tasks that an earlier owner started get no renewals from an owner that never read the row.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,6 +40,7 @@
 	JobRequeued   ID = 3005
 	JobReclaimed  ID = 3006
 	JobMoved      ID = 3007
+	JobUnread     ID = 3008
 	WorkerLost    ID = 3010
 	WorkerBack    ID = 3011
 	WorkerBarred  ID = 3012
@@ -79,6 +80,7 @@
 	{JobRequeued, "jobRequeued", "A gang was taken down and waits for its next attempt."},
 	{JobReclaimed, "jobReclaimed", "A job on lent capacity was stopped for a guarantee."},
 	{JobMoved, "jobMoved", "A waiting job was given to another shard."},
+	{JobUnread, "jobUnread", "The row of a job cannot be decoded; the job is left as it is."},
 	{WorkerLost, "workerLost", "A worker does not answer."},
 	{WorkerBack, "workerBack", "A worker answers again."},
 	{WorkerBarred, "workerBarred", "A worker was quarantined because work fails on it."},
--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/record"
+	"github.com/baobabquay/baobabquay/internal/store"
 	"github.com/baobabquay/baobabquay/internal/worker"
 	"gotest.tools/v3/assert"
 )
@@ -44,3 +46,20 @@
 		assert.Equal(t, g.takes(), 1, "the shard changed hands")
 	})
 }
+
+// TestUnreadableRow guards against one row that cannot be read, for example of
+// a later version of the program, and stops its whole shard.
+func TestUnreadableRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t, 4)
+		_, err := g.table.Store().Commit(t.Context(), store.Txn{Puts: []store.Put{
+			{Key: record.JobKey(workspace, "odd"), Value: []byte(`{"state":"paused"}`)},
+			{Key: record.QueueKey(domain, workspace, "odd")},
+			{Key: record.QueueHeadKey(domain)},
+		}})
+		assert.NilError(t, err)
+		g.start("i1", 0)
+		j := g.submit("a", 3, `{"runFor":"5s","result":"proof"}`)
+		assert.Equal(t, g.wait(j.ID, 20*time.Second).State, jobs.Done)
+	})
+}
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/record"
@@ -118,7 +119,9 @@
 	}
 	j, err := record.DecodeJob(row.Value)
 	if err != nil {
-		return fmt.Errorf("get job %s: %w", k.job, err)
+		// The other jobs go on. What is known of this one stays.
+		s.noteUnread(r, k, row.Version, err)
+		return nil
 	}
 	if j.Domain != s.deps.Domain || j.State.Ended() {
 		return nil
@@ -133,7 +136,18 @@
 	defer s.mu.Unlock()
 	if s.epoch == r.lease.Epoch {
 		s.jobs[keyOf(j)] = held{job: j, version: version}
+		delete(s.unread, keyOf(j))
+	}
+}
+
+func (s *Shard) noteUnread(r *round, k jobKey, version int64, err error) {
+	s.mu.Lock()
+	if s.epoch == r.lease.Epoch {
+		s.unread[k] = version
 	}
+	s.mu.Unlock()
+	s.deps.Log.Write(event.JobUnread, "workspace", k.workspace, "job", k.job,
+		"domain", s.deps.Domain, "reason", err.Error())
 }
 
 // forget drops the jobs that are no longer in the queue.
@@ -145,12 +159,17 @@
 			s.dropLocked(k)
 		}
 	}
+	for k := range s.unread {
+		if !present[k] {
+			delete(s.unread, k)
+		}
+	}
 }
 
 func (s *Shard) versionOf(k jobKey) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.jobs[k].version
+	return max(s.jobs[k].version, s.unread[k])
 }
 
 // commit writes the next record of a job, tied to the lease and to the version
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -242,7 +242,11 @@
 			continue
 		}
 		for _, st := range t.report.Statuses {
-			h, ok := s.jobs[jobKey{st.Attempt.Workspace, st.Attempt.Job}]
+			k := jobKey{st.Attempt.Workspace, st.Attempt.Job}
+			if _, unread := s.unread[k]; unread {
+				continue
+			}
+			h, ok := s.jobs[k]
 			if !ok || !h.job.State.Placed() || h.job.Attempt != st.Attempt.Number {
 				found[id] = append(found[id], st.Attempt)
 			}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -54,6 +54,8 @@
 		since   time.Time
 		workers map[ident.Worker]*tracked
 		jobs    map[jobKey]held
+		// unread are the jobs whose rows cannot be decoded, with their versions.
+		unread map[jobKey]int64
 		// head is the version of the queue's head row at the last whole scan.
 		head    int64
 		scanned bool
@@ -290,6 +292,7 @@
 	s.since = now
 	s.workers = make(map[ident.Worker]*tracked)
 	s.jobs = make(map[jobKey]held)
+	s.unread = make(map[jobKey]int64)
 	s.head, s.scanned = 0, false
 	s.waits = make(map[jobKey]string)
 	s.aborted = make(map[jobKey]int)
