--- a/internal/matrix/calls.go
+++ b/internal/matrix/calls.go
@@ -187,7 +187,13 @@
 			time.Sleep(lossDelay)
 			return errLost
 		}
+		if self, known := w.instance(i); known && w.setup.Unasked {
+			s.Config = self.site.Current()
+		}
 		answer = peer.members.Receive(s)
+		if w.setup.Unasked {
+			answer.Config = peer.site.Current()
+		}
 		return nil
 	})
 	return answer, err
--- a/internal/matrix/guard_test.go
+++ b/internal/matrix/guard_test.go
@@ -25,7 +25,7 @@
 	}{
 		{
 			// Without a reclaim the guarantee waits for the end of lent work.
-			"P1", Setup{Policy: sched.Default, LentFor: 100 * time.Second}, Cell{},
+			"P1", Setup{Policy: withoutReclaim, LentFor: 100 * time.Second}, Cell{},
 		},
 		{
 			// Workers that keep tasks whose lease has ended.
@@ -73,10 +73,11 @@
 			}}, Cell{},
 		},
 		{
-			// A keeper that installs whatever version it last read or heard.
+			// A keeper that installs whatever version it last learnt, from an
+			// instance that was paused while the store is down.
 			"P9", Setup{Site: site.Guards{
 				Newer: func(present, next int64) bool { return next != present },
-			}}, Cell{Step: "domainOut", Faults: []string{"messagesDelayed", "storeDown"}},
+			}, Unasked: true}, Cell{Step: "domainOut", Faults: []string{"storeDown", "pause"}},
 		},
 	}
 	for _, tc := range tests {
@@ -90,6 +91,14 @@
 	}
 }
 
+// withoutReclaim leaves work on lent capacity alone.
+func withoutReclaim() sched.Policy {
+	p := sched.Default()
+	return sched.Policy{Name: "withoutReclaim", Decide: func(now time.Time, v *sched.View) []sched.Action {
+		return slices.DeleteFunc(p.Decide(now, v), func(a sched.Action) bool { return a.Kind == sched.Reclaim })
+	}}
+}
+
 // ignoreService places jobs whether the domain is in service or not, and moves
 // none to another domain.
 func ignoreService() sched.Policy {
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -44,6 +44,9 @@
 		Plain bool
 		// BlindList hides from the instances that endpoints leave.
 		BlindList bool
+		// Unasked makes instances send their configuration with each exchange
+		// and each answer to one, so that an old one can arrive late.
+		Unasked bool
 	}
 
 	// World is a small site with its callers and operators.
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -18,12 +17,7 @@
 // the reports of all.
 func (s *Shard) observe(ctx context.Context, r *round) error {
 	s.track(r.now)
-	steady := s.steady(r)
-	var calls sync.WaitGroup
-	for _, t := range s.snapshot() {
-		calls.Go(func() { s.ask(ctx, r, t, steady[t.spec.ID]) })
-	}
-	calls.Wait()
+	s.askAll(ctx, r)
 	if !s.deps.Lease.State().Held {
 		s.lose("a worker has accepted a higher epoch")
 		return errNotOwner
@@ -52,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, t := range s.workers {
-		if !listed[id] && now.Sub(t.seen) >= gang.Lease {
+		if !listed[id] && now.Sub(t.ranUntil()) >= gang.Lease {
 			delete(s.workers, id)
 		}
 	}
@@ -73,11 +67,11 @@
 // last round found complete, so that one call may renew all leases of the
 // worker. A worker that differs from what is known here renews nothing and
 // reports instead. Evidence older than gang.Fresh counts for nothing.
-func (s *Shard) steady(r *round) map[ident.Worker]bool {
+func (s *Shard) steady() map[ident.Worker]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	steady := make(map[ident.Worker]bool, len(s.workers))
-	if r.now.Sub(s.judged) > gang.Fresh {
+	if time.Since(s.judged) > gang.Fresh {
 		return steady
 	}
 	for id, t := range s.workers {
@@ -96,8 +90,11 @@
 	r.verdicts = make(map[jobKey]gang.Verdict)
 	complete := make(map[worker.Attempt]bool)
 	for _, h := range s.placed() {
-		v := s.judge(r, h.job)
+		v := s.judge(h.job)
 		r.verdicts[keyOf(h.job)] = v
+		if v.Complete {
+			s.find(h.job, gang.Verdict{Saved: v.Saved})
+		}
 		if v.Complete && v.Answered {
 			complete[attemptOf(h.job)] = true
 		}
@@ -109,8 +106,8 @@
 }
 
 // judge returns the verdict about a job that holds workers.
-func (s *Shard) judge(r *round, j jobs.Job) gang.Verdict {
-	return gang.Judge(r.now, j, func(w ident.Worker) gang.Sight { return s.see(j, w) })
+func (s *Shard) judge(j jobs.Job) gang.Verdict {
+	return gang.Judge(time.Now(), j, func(w ident.Worker) gang.Sight { return s.see(j, w) })
 }
 
 func (s *Shard) ask(ctx context.Context, r *round, t tracked, steady bool) {
@@ -118,8 +115,16 @@
 	defer cancel()
 	report, err := s.call(ctx, r, t, steady)
 	switch {
-	case worker.RefusedFor(err) == worker.ReasonEpoch, err == nil && report.Epoch > r.lease.Epoch:
-		s.deps.Lease.Lost()
+	case worker.RefusedFor(err) == worker.ReasonEpoch:
+		// A report is not refused and names the epoch.
+		if report, err = t.agent.Report(ctx); err != nil {
+			s.deps.Lease.Lost()
+			return
+		}
+		s.deps.Lease.Outbid(report.Epoch)
+		return
+	case err == nil && report.Epoch > r.lease.Epoch:
+		s.deps.Lease.Outbid(report.Epoch)
 		return
 	case err != nil:
 		s.noteSilent(t, err)
@@ -133,6 +138,7 @@
 		report, err := t.agent.Beat(ctx, worker.Beat{
 			Header: s.header(r), Boot: t.report.Boot, Changes: t.report.Changes, Lease: gang.Lease,
 		})
+		s.noteExtended(t.spec.ID)
 		if err != nil {
 			return worker.Report{}, fmt.Errorf("beat: %w", err)
 		}
@@ -155,7 +161,7 @@
 func (s *Shard) noteAnswer(r *round, t tracked, report worker.Report) {
 	s.mu.Lock()
 	w, ok := s.workers[t.spec.ID]
-	if !ok || s.epoch != r.lease.Epoch {
+	if !ok || s.epoch != r.lease.Epoch || isOlder(report, w.report) {
 		s.mu.Unlock()
 		return
 	}
@@ -221,7 +227,7 @@
 		// The platform does not list the worker and it was never heard.
 		return gang.Sight{Seen: s.since}
 	}
-	sight := gang.Sight{Answered: t.answered && t.fenced, Seen: t.seen}
+	sight := gang.Sight{Answered: t.answered && t.fenced, Seen: t.seen, Extended: t.extended}
 	if st, ok := t.statuses[attemptOf(j)]; ok {
 		sight.Present, sight.Status = true, st
 		sight.Status.Progress += t.since(st)
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/record"
@@ -12,6 +13,11 @@
 	"github.com/pkg/errors"
 )
 
+// loadLimit is the number of jobs that are read at once. A wave of changes must
+// pass within the time of a round: the store takes two thousand reads a second
+// and is 20 ms away.
+const loadLimit = 64
+
 // read reads the configuration. It comes after observe, so that the ticks of
 // the reports prove how recent it is.
 func (s *Shard) read(ctx context.Context, r *round) error {
@@ -63,7 +69,7 @@
 		}
 		stale = append(stale, k)
 	}
-	if err := each(stale, func(k jobKey) error { return s.load(ctx, r, k) }); err != nil {
+	if err := each(stale, loadLimit, func(k jobKey) error { return s.load(ctx, r, k) }); err != nil {
 		return err
 	}
 	s.forget(present)
@@ -77,7 +83,7 @@
 func (s *Shard) judgeChanged(r *round, changed []jobKey) {
 	for _, k := range changed {
 		if h, ok := s.heldJob(k); ok && h.job.State.Placed() {
-			r.verdicts[k] = s.judge(r, h.job)
+			r.verdicts[k] = s.judge(h.job)
 		}
 	}
 }
@@ -113,7 +119,9 @@
 	}
 	j, err := record.DecodeJob(row.Value)
 	if err != nil {
-		return fmt.Errorf("get job %s: %w", k.job, err)
+		// The other jobs go on. What is known of this one stays.
+		s.noteUnread(r, k, row.Version, err)
+		return nil
 	}
 	if j.Domain != s.deps.Domain || j.State.Ended() {
 		return nil
@@ -128,18 +136,32 @@
 	defer s.mu.Unlock()
 	if s.epoch == r.lease.Epoch {
 		s.jobs[keyOf(j)] = held{job: j, version: version}
+		delete(s.unread, keyOf(j))
 	}
 }
 
+func (s *Shard) noteUnread(r *round, k jobKey, version int64, err error) {
+	s.mu.Lock()
+	if s.epoch == r.lease.Epoch {
+		s.unread[k] = version
+	}
+	s.mu.Unlock()
+	s.deps.Log.Write(event.JobUnread, "workspace", k.workspace, "job", k.job,
+		"domain", s.deps.Domain, "reason", err.Error())
+}
+
 // forget drops the jobs that are no longer in the queue.
 func (s *Shard) forget(present map[jobKey]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k := range s.jobs {
 		if !present[k] {
-			delete(s.jobs, k)
-			delete(s.waits, k)
-			delete(s.aborted, k)
+			s.dropLocked(k)
+		}
+	}
+	for k := range s.unread {
+		if !present[k] {
+			delete(s.unread, k)
 		}
 	}
 }
@@ -147,7 +169,7 @@
 func (s *Shard) versionOf(k jobKey) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.jobs[k].version
+	return max(s.jobs[k].version, s.unread[k])
 }
 
 // commit writes the next record of a job, tied to the lease and to the version
@@ -195,7 +217,12 @@
 func (s *Shard) drop(k jobKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropLocked(k)
+}
+
+func (s *Shard) dropLocked(k jobKey) {
 	delete(s.jobs, k)
 	delete(s.waits, k)
 	delete(s.aborted, k)
+	delete(s.findings, k)
 }
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/gang"
@@ -14,18 +15,32 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// maxRowResult is the largest result in bytes that is kept in the job's row.
-const maxRowResult = 4 << 10
+const (
+	// maxRowResult is the largest result in bytes that is kept in the job's row.
+	maxRowResult = 4 << 10
+	// settleTime is the time of a round after which no more jobs are settled,
+	// so that waiting jobs are placed while many end. The next round goes on.
+	settleTime = time.Second
+	// resultTimeout bounds the write of a result to the object store.
+	resultTimeout = 2 * time.Second
+)
 
 // reconcile brings the records of the jobs and the tasks on the workers into
 // agreement. A job whose change fails is judged again in the next round.
 func (s *Shard) reconcile(ctx context.Context, r *round) error {
 	s.stopOrphans(ctx, r)
-	_ = each(s.unsettled(r), func(h held) error {
+	until := time.Now().Add(settleTime)
+	_ = each(s.unsettled(r), actLimit, func(h held) error {
+		if time.Now().After(until) {
+			return nil
+		}
 		s.apply(ctx, r, h, r.verdicts[keyOf(h.job)])
 		return nil
 	})
-	_ = each(s.cancelled(), func(h held) error {
+	_ = each(s.cancelled(), actLimit, func(h held) error {
+		if time.Now().After(until) {
+			return nil
+		}
 		s.end(ctx, r, h, jobs.Cancelled, "cancelled by the caller", nil)
 		return nil
 	})
@@ -45,11 +60,11 @@
 	return all
 }
 
-// each calls f for all values, at most actLimit at once, and returns the first
+// each calls f for all values, at most limit at once, and returns the first
 // error.
-func each[T any](all []T, f func(T) error) error {
+func each[T any](all []T, limit int, f func(T) error) error {
 	var group errgroup.Group
-	group.SetLimit(actLimit)
+	group.SetLimit(limit)
 	for _, v := range all {
 		group.Go(func() error { return f(v) })
 	}
@@ -89,6 +104,7 @@
 // takeDown stops all members and puts the job back in the queue, or ends it if
 // it has failed too often.
 func (s *Shard) takeDown(ctx context.Context, r *round, h held, v gang.Verdict) {
+	v = s.find(h.job, v)
 	if !s.stopAll(ctx, r, h.job) {
 		return
 	}
@@ -145,7 +161,7 @@
 		return
 	}
 	if len(result) > maxRowResult {
-		if err := s.deps.Objects.Put(ctx, record.ResultKey(next.Workspace, next.ID), result); err != nil {
+		if s.storeResult(ctx, next, result) != nil {
 			return
 		}
 		next.Result, next.ResultStored = nil, true
@@ -158,9 +174,19 @@
 	s.stopAll(ctx, r, h.job)
 }
 
-// stopAll stops the attempt on all workers of the job. It returns false if a
-// worker that answers has not stopped it; a silent worker's tasks end by
-// themselves, and the verdict has waited for that.
+// storeResult writes a result that is too large for the row.
+func (s *Shard) storeResult(ctx context.Context, j jobs.Job, result []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
+	defer cancel()
+	if err := s.deps.Objects.Put(ctx, record.ResultKey(j.Workspace, j.ID), result); err != nil {
+		return fmt.Errorf("store result of job %s: %w", j.ID, err)
+	}
+	return nil
+}
+
+// stopAll stops the attempt on all workers of the job. It returns false if it
+// can still run on one of them: a task on a worker that cannot be reached ends
+// with its lease.
 func (s *Shard) stopAll(ctx context.Context, r *round, j jobs.Job) bool {
 	ok := true
 	var mu sync.Mutex
@@ -168,7 +194,7 @@
 	for _, slot := range j.Slots {
 		calls.Go(func() {
 			err := s.stopOn(ctx, r, slot.Worker, []worker.Attempt{attemptOf(j)})
-			if err != nil && s.answers(slot.Worker) {
+			if err != nil && s.canRunOn(slot.Worker) {
 				mu.Lock()
 				ok = false
 				mu.Unlock()
@@ -193,13 +219,6 @@
 	return nil
 }
 
-func (s *Shard) answers(id ident.Worker) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t, ok := s.workers[id]
-	return ok && t.answered
-}
-
 // stopOrphans stops the attempts that no record of a job names. Only this
 // owner starts attempts, and it does so later in the round, so an attempt
 // that is not recorded now is left over.
@@ -223,7 +242,11 @@
 			continue
 		}
 		for _, st := range t.report.Statuses {
-			h, ok := s.jobs[jobKey{st.Attempt.Workspace, st.Attempt.Job}]
+			k := jobKey{st.Attempt.Workspace, st.Attempt.Job}
+			if _, unread := s.unread[k]; unread {
+				continue
+			}
+			h, ok := s.jobs[k]
 			if !ok || !h.job.State.Placed() || h.job.Attempt != st.Attempt.Number {
 				found[id] = append(found[id], st.Attempt)
 			}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -54,6 +54,8 @@
 		since   time.Time
 		workers map[ident.Worker]*tracked
 		jobs    map[jobKey]held
+		// unread are the jobs whose rows cannot be decoded, with their versions.
+		unread map[jobKey]int64
 		// head is the version of the queue's head row at the last whole scan.
 		head    int64
 		scanned bool
@@ -61,10 +63,12 @@
 		// aborted is the highest attempt of a job that was given up before its
 		// start was recorded. Workers refuse its number from then on.
 		aborted map[jobKey]int
-		summary sched.Summary
-		ready   bool
-		storeUp bool
-		outrank time.Time
+		// findings are what is known of the present attempts of placed jobs.
+		findings map[jobKey]finding
+		summary  sched.Summary
+		ready    bool
+		storeUp  bool
+		outrank  time.Time
 		// complete are the attempts that the last round, at judged, found
 		// complete with all workers answering.
 		complete map[worker.Attempt]bool
@@ -89,6 +93,9 @@
 		reported time.Time
 		seen     time.Time
 		answered bool
+		// extended is the end of the last call that could extend leases, with
+		// an answer or without.
+		extended time.Time
 		// renewed tells that the last call has extended the leases of all
 		// tasks of the worker.
 		renewed bool
@@ -125,6 +132,10 @@
 		verdicts map[jobKey]gang.Verdict
 		// actions are what the policy decided.
 		actions []sched.Action
+		// stop ends the round early, and tending are the calls that go on
+		// until its end.
+		stop    context.CancelFunc
+		tending sync.WaitGroup
 	}
 )
 
@@ -166,6 +177,7 @@
 		pipe.Filter[*round]{Name: "observe", Do: s.observe},
 		pipe.Filter[*round]{Name: "judge", Do: s.judgeAll},
 		pipe.Filter[*round]{Name: "renew", Do: s.renew},
+		pipe.Filter[*round]{Name: "tend", Do: s.tend},
 		pipe.Filter[*round]{Name: "read", Do: s.read},
 		pipe.Filter[*round]{Name: "queue", Do: s.queue},
 		pipe.Filter[*round]{Name: "reconcile", Do: s.reconcile},
@@ -197,13 +209,28 @@
 			return roundEvery
 		}
 	}
-	paced := time.Second * time.Duration(len(s.workers)) / callsPerSecond
-	return min(max(paced, roundEvery), roundSlowest)
+	return s.pacedLocked()
+}
+
+// paced returns the period at which all workers can be called.
+func (s *Shard) paced() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pacedLocked()
+}
+
+func (s *Shard) pacedLocked() time.Duration {
+	period := time.Second * time.Duration(len(s.workers)) / callsPerSecond
+	return min(max(period, roundEvery), roundSlowest)
 }
 
 // Round performs one round and returns the error that ended it, if any.
 func (s *Shard) Round(ctx context.Context) error {
-	err := s.chain.Run(ctx, &round{now: time.Now()})
+	ctx, stop := context.WithCancel(ctx)
+	r := &round{now: time.Now(), stop: stop}
+	err := s.chain.Run(ctx, r)
+	stop()
+	r.tending.Wait()
 	s.noteStore(err)
 	return err
 }
@@ -265,9 +292,11 @@
 	s.since = now
 	s.workers = make(map[ident.Worker]*tracked)
 	s.jobs = make(map[jobKey]held)
+	s.unread = make(map[jobKey]int64)
 	s.head, s.scanned = 0, false
 	s.waits = make(map[jobKey]string)
 	s.aborted = make(map[jobKey]int)
+	s.findings = make(map[jobKey]finding)
 	s.summary = sched.Summary{Domain: s.deps.Domain, Epoch: epoch}
 	s.ready = false
 	s.outrank = time.Time{}
