Let a new instance become ready while the store is down

Cause: an instance wrote its membership row before it became ready, so none could be replaced during an outage of the store, although its peers had the configuration. Entry instances were not in the platform's list either. Ruled out: counting listed instances as alive. The list lags, and a dead instance in it would take part in the preference for leases for 5 s. Also ruled out: addresses of peers in the settings, which change with each replacement. Change: a ready instance registers in the list as kind entry, with its peer address, each second for 5 s, as leaving during a planned stop, and removes itself at its end. Listed instances are exchanged with; an answer makes them count as alive. Without the store, a starting instance asks all of them and becomes ready when one has answered and the configuration is in force. The golden file of the messages differs by the new field alone, which its test now sets. When the list fails too, a new instance does not become ready.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -22,6 +22,7 @@
 	"github.com/baobabquay/baobabquay/internal/link"
 	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/peer"
+	"github.com/baobabquay/baobabquay/internal/plat"
 	"github.com/baobabquay/baobabquay/internal/quota"
 	"github.com/baobabquay/baobabquay/internal/relay"
 	"github.com/baobabquay/baobabquay/internal/roster"
@@ -41,6 +42,7 @@
 	members *member.Service
 	roster  *roster.Roster
 	relay   *relay.Relay
+	entries plat.List
 	link    *link.Counter
 	shards  *shards
 	status  *status
@@ -86,14 +88,14 @@
 func newLife(
 	self member.Info, k *site.Keeper, m *member.Service, ro *roster.Roster, r *relay.Relay,
 	in *intake.Intake, sh *shards, st *status, f *finder, t store.Table, log event.Log,
-	where *places, sg *sharing, lc *link.Counter,
+	pl plat.List, where *places, sg *sharing, lc *link.Counter,
 ) *life {
 	f.view, sh.deps.view, sh.deps.roster = m, m, ro
 	where.set(k, m, ro)
 	sg.set(k, m)
 	l := &life{
 		self: self, site: k, members: m, roster: ro, relay: r, shards: sh, status: st, table: t, log: log,
-		link: lc,
+		entries: pl, link: lc,
 	}
 	l.callers = newServer(entry.NewHandler(entry.Deps{
 		Config: k.Current, Jobs: in, Relay: r.Do, Region: self.Region, Ready: st.isReady, Log: log,
@@ -162,17 +164,21 @@
 	return nil
 }
 
-// becomeReady waits until the instance is known to the others, has a
-// configuration in force and has read the platform's list.
+// becomeReady waits until the instance knows the others, has a configuration in
+// force and has read the platform's list. It knows the others from their rows,
+// or, while the store is down, from the list, if one of them answers. All of
+// them are asked before, so that the highest version among them is known; the
+// keeper puts no lower one in force.
 func (l *life) becomeReady(ctx context.Context) {
 	joined := false
 	for {
 		if !joined {
-			joined = l.members.Join(ctx) == nil
+			joined = l.members.Join(ctx) == nil || l.roster.IsRead() && l.members.Ask(ctx) > 0
 		}
 		if joined && l.site.Current().Version > 0 && l.roster.IsRead() {
 			l.status.setReady()
 			l.log.Write(event.InstanceReady, "version", l.site.Current().Version, "callers", l.self.Caller)
+			l.loops.Go(func() { l.register(ctx) })
 			return
 		}
 		select {
@@ -211,6 +217,8 @@
 	limits := l.site.Current().Limits
 	l.log.Write(event.InstanceStop, "inFlight", l.relay.InFlight())
 	l.status.setStopping()
+	// Readers of the list see it before the instance ends.
+	l.loops.Go(func() { _ = l.list(ctx, plat.Leaving) })
 	ctx, cancel := context.WithTimeout(ctx, limits.StopLimit)
 	defer cancel()
 	pause(ctx, limits.StopDelay)
@@ -223,6 +231,7 @@
 	l.loops.Wait()
 	// The row of an instance that cannot delete it is deleted by the others.
 	_ = l.members.Leave(ctx)
+	l.unlist(ctx)
 	err = stderrors.Join(err, l.peers.Shutdown(ctx))
 	l.log.Write(event.InstanceEnded, "cutOff", l.relay.InFlight())
 	if err != nil {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -106,20 +106,23 @@
 		Exchange: func(ctx context.Context, to member.Info, s member.State) (member.State, error) {
 			return p.Exchange(ctx, to.Peer, s)
 		},
-		Received: func(s member.State) {
-			k.Hear(s.ConfigVersion)
-			if s.Config != nil {
-				k.Learn(s.Config)
-			}
-			for _, e := range s.Leaving {
-				routes.MarkTold(e, time.Now())
-			}
-		},
+		Received: func(s member.State) { hear(k, routes, s) },
 	})
 	o.call = s.Offer
 	return s
 }
 
+// hear takes what another instance told.
+func hear(k *site.Keeper, routes *route.Table, s member.State) {
+	k.Hear(s.ConfigVersion)
+	if s.Config != nil {
+		k.Learn(s.Config)
+	}
+	for _, e := range s.Leaving {
+		routes.MarkTold(e, time.Now())
+	}
+}
+
 func localState(self member.Info, k *site.Keeper, st *status, sh *shards, routes *route.Table) member.State {
 	c := k.Highest()
 	s := member.State{
@@ -132,10 +135,10 @@
 	return s
 }
 
-func newRoster(l plat.List, r *relay.Relay) *roster.Roster {
+func newRoster(l plat.List, r *relay.Relay, m *member.Service) *roster.Roster {
 	return roster.New(roster.Deps{
 		Read:   func(ctx context.Context) (roster.Listing, error) { return readList(ctx, l) },
-		Update: r.UpdateEndpoints,
+		Update: r.UpdateEndpoints, Entries: m.Listed,
 	})
 }
 
@@ -156,6 +159,10 @@
 				Leaving: i.State == plat.Leaving, Slots: e.Slots,
 			})
 		case plat.KindEntry:
+			e := i.Entry
+			listing.Entries = append(listing.Entries, member.Info{
+				Instance: e.Name, Domain: e.Domain, Region: e.Region, Peer: e.Peer, Caller: e.Address,
+			})
 		}
 	}
 	return listing, nil
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -48,6 +49,8 @@
 
 // Join writes the row of this instance and reads those of the others.
 func (s *Service) Join(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	if err := s.write(ctx); err != nil {
 		return err
 	}
@@ -66,7 +69,7 @@
 // Run keeps the rows and the exchanges going until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { s.every(ctx, exchangeEvery, s.exchangeAll) })
+	loops.Go(func() { s.every(ctx, exchangeEvery, s.Offer) })
 	loops.Go(func() { s.every(ctx, scanEvery, func(ctx context.Context) { s.quietly(ctx, s.scan) }) })
 	loops.Go(func() { s.every(ctx, writeEvery, func(ctx context.Context) { s.quietly(ctx, s.write) }) })
 	loops.Wait()
@@ -76,6 +79,11 @@
 // for their answers, at most for the timeout of an exchange.
 func (s *Service) Offer(ctx context.Context) { s.exchangeAll(ctx) }
 
+// Ask exchanges states with all instances that are known or listed and returns
+// the number that answered. A new instance learns the configuration by it while
+// the store is down.
+func (s *Service) Ask(ctx context.Context) int { return s.exchangeAll(ctx) }
+
 // Receive takes the state that another instance sent and returns the answer.
 func (s *Service) Receive(from State) State {
 	s.take(from)
@@ -102,13 +110,20 @@
 	return local
 }
 
-func (s *Service) exchangeAll(ctx context.Context) {
+// exchangeAll returns the number of instances that answered.
+func (s *Service) exchangeAll(ctx context.Context) int {
 	var calls sync.WaitGroup
-	for _, p := range s.Live(time.Now()) {
-		calls.Go(func() { s.exchange(ctx, p) })
+	var answered atomic.Int64
+	for _, p := range s.reachable(time.Now()) {
+		calls.Go(func() {
+			if s.exchange(ctx, p) {
+				answered.Add(1)
+			}
+		})
 	}
 	calls.Wait()
 	s.reportLost(time.Now())
+	return int(answered.Load())
 }
 
 // reportLost writes which instances no longer answer. It comes before the
@@ -119,14 +134,15 @@
 	}
 }
 
-func (s *Service) exchange(ctx context.Context, p Peer) {
+func (s *Service) exchange(ctx context.Context, p Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	answer, err := s.deps.Exchange(ctx, p.Info, s.stateFor(p.State))
 	if err != nil {
-		return
+		return false
 	}
 	s.take(answer)
+	return true
 }
 
 func (s *Service) scan(ctx context.Context) error {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -64,6 +64,8 @@
 
 		mu    sync.Mutex
 		peers map[ident.Instance]Peer
+		// listed are the instances in the platform's list.
+		listed map[ident.Instance]bool
 	}
 
 	// sighted is an instance's row with its version.
@@ -109,7 +111,7 @@
 		}
 	}
 	for i, p := range v.peers {
-		if !present[i] && !p.isLive(now) {
+		if !present[i] && !v.listed[i] && !p.isLive(now) {
 			delete(v.peers, i)
 		}
 	}
@@ -164,6 +166,37 @@
 	return live
 }
 
+// Listed takes the entry instances in the platform's list. They are asked, but
+// only an answer makes them count as alive, as the list lags.
+func (v *View) Listed(is []Info) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listed = make(map[ident.Instance]bool, len(is))
+	for _, i := range is {
+		if i.Instance == v.self.Instance || !i.Peer.IsValid() {
+			continue
+		}
+		v.listed[i.Instance] = true
+		if _, ok := v.peers[i.Instance]; !ok {
+			v.peers[i.Instance] = Peer{Info: i}
+		}
+	}
+}
+
+// reachable returns the instances to exchange with: those that count as alive
+// and those that the platform lists.
+func (v *View) reachable(now time.Time) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var all []Peer
+	for i, p := range v.peers {
+		if p.isLive(now) || v.listed[i] {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
 // Find returns the instance with the given name.
 func (v *View) Find(i ident.Instance) (Peer, bool) {
 	v.mu.Lock()
--- a/internal/plat/list.go
+++ b/internal/plat/list.go
@@ -46,8 +46,10 @@
 	Entry struct {
 		Name    ident.Instance
 		Address netip.AddrPort
-		Domain  ident.Domain
-		Region  ident.Region
+		// Peer is the address for other entry instances.
+		Peer   netip.AddrPort
+		Domain ident.Domain
+		Region ident.Region
 	}
 
 	// List is the platform's list of instances. What Read returns lags.
@@ -65,6 +67,7 @@
 		State       State          `json:"state"`
 		Name        string         `json:"name"`
 		Address     netip.AddrPort `json:"address"`
+		Peer        netip.AddrPort `json:"peer,omitzero"`
 		Domain      ident.Domain   `json:"domain"`
 		Region      ident.Region   `json:"region,omitempty"`
 		Rack        ident.Rack     `json:"rack,omitempty"`
@@ -178,6 +181,7 @@
 	default:
 		e := i.Entry
 		f.Name, f.Address, f.Domain, f.Region = string(e.Name), e.Address, e.Domain, e.Region
+		f.Peer = e.Peer
 	}
 	return f
 }
@@ -199,7 +203,7 @@
 			Region: f.Region, Slots: f.Slots, Connections: f.Connections,
 		}
 	case KindEntry:
-		i.Entry = Entry{Name: ident.Instance(f.Name), Address: f.Address, Domain: f.Domain, Region: f.Region}
+		i.Entry = Entry{Name: ident.Instance(f.Name), Address: f.Address, Peer: f.Peer, Domain: f.Domain, Region: f.Region}
 	default:
 		return i, fmt.Errorf("kind %q of %s: %w", f.Kind, f.Name, ErrProtocol)
 	}
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -55,7 +55,8 @@
 			Domain: "ub1", Region: "ulaanbaatar", Slots: 8, Connections: 60,
 		}},
 		{Kind: plat.KindEntry, State: plat.Live, Entry: plat.Entry{
-			Name: "entry-1", Address: netip.MustParseAddrPort("127.0.0.1:7501"), Domain: "ub1", Region: "ulaanbaatar",
+			Name: "entry-1", Address: netip.MustParseAddrPort("127.0.0.1:7501"),
+			Peer: netip.MustParseAddrPort("127.0.0.1:7502"), Domain: "ub1", Region: "ulaanbaatar",
 		}},
 	}
 	report = worker.Report{
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/fleet"
 	"github.com/baobabquay/baobabquay/internal/ident"
+	"github.com/baobabquay/baobabquay/internal/member"
 	"github.com/baobabquay/baobabquay/internal/route"
 	"github.com/baobabquay/baobabquay/internal/worker"
 )
@@ -18,6 +19,7 @@
 	Listing struct {
 		Workers   []worker.Spec
 		Endpoints []route.Endpoint
+		Entries   []member.Info
 	}
 
 	// Deps are the calls that a Roster makes.
@@ -25,6 +27,8 @@
 		Read func(ctx context.Context) (Listing, error)
 		// Update is called with the endpoints of each list that was read.
 		Update func(es []route.Endpoint, now time.Time)
+		// Entries is called with the entry instances of each list.
+		Entries func(is []member.Info)
 	}
 
 	// Roster is the last list that was read. It is safe for concurrent use.
@@ -73,6 +77,9 @@
 	if r.deps.Update != nil {
 		r.deps.Update(l.Endpoints, time.Now())
 	}
+	if r.deps.Entries != nil {
+		r.deps.Entries(l.Entries)
+	}
 	return nil
 }
 
