Wait for the highest version that a peer names before being ready

Cause: found by reading. While the store is down, a fast peer with a lower version could give its configuration to a starting instance before a slow peer named a higher one; the instance was then ready with the lower one until the next exchange. Ruled out: asking the slow peer first; which peer is slow is not known. Change: becomeReady waits while the keeper wants a copy from a peer.

--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -167,15 +167,15 @@
 // becomeReady waits until the instance knows the others, has a configuration in
 // force and has read the platform's list. It knows the others from their rows,
 // or, while the store is down, from the list, if one of them answers. All of
-// them are asked before, so that the highest version among them is known; the
-// keeper puts no lower one in force.
+// them are asked before, so that the highest version among them is known, and the
+// instance is not ready while it lacks that version.
 func (l *life) becomeReady(ctx context.Context) {
 	joined := false
 	for {
 		if !joined {
 			joined = l.members.Join(ctx) == nil || l.roster.IsRead() && l.members.Ask(ctx) > 0
 		}
-		if joined && l.site.Current().Version > 0 && l.roster.IsRead() {
+		if joined && l.site.Current().Version > 0 && !l.site.Wants() && l.roster.IsRead() {
 			l.status.setReady()
 			l.log.Write(event.InstanceReady, "version", l.site.Current().Version, "callers", l.self.Caller)
 			l.loops.Go(func() { l.register(ctx) })
