Take reports only from the worker that was asked

Cause: the answer of a worker was taken for that of the worker that the list names at its address. A list that lags still names the worker that had the address before, so one machine counted as two. A worker of another domain at that address could also cost the owner its lease. Ruled out: dropping specs with an address that occurs twice. The list can also name only the old worker. Change: a report that names another worker counts as no answer.

--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -114,19 +114,23 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := s.call(ctx, r, t, steady)
-	switch {
-	case worker.RefusedFor(err) == worker.ReasonEpoch:
+	outbid := worker.RefusedFor(err) == worker.ReasonEpoch
+	if outbid {
 		// A report is not refused and names the epoch.
-		if report, err = t.agent.Report(ctx); err != nil {
-			s.deps.Lease.Lost()
-			return
-		}
-		s.deps.Lease.Outbid(report.Epoch)
-		return
+		report, err = t.agent.Report(ctx)
+	}
+	switch {
+	case err == nil && report.Worker != t.spec.ID:
+		// Counting it under both names would count its capacity twice.
+		err = fmt.Errorf("%s has the address: %w", report.Worker, errWorker)
 	case err == nil && report.Epoch > r.lease.Epoch:
 		s.deps.Lease.Outbid(report.Epoch)
 		return
-	case err != nil:
+	case outbid:
+		s.deps.Lease.Lost()
+		return
+	}
+	if err != nil {
 		s.noteSilent(t, err)
 		return
 	}
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -37,6 +37,9 @@
 		intake  *intake.Intake
 		// wrap, if not nil, changes the calls to a worker.
 		wrap func(a worker.Agent) worker.Agent
+		// stale are workers that the platform still lists although the worker
+		// named by the value has their address now.
+		stale map[ident.Worker]ident.Worker
 	}
 
 	// instance is one owner candidate of the domain.
@@ -97,6 +100,11 @@
 			for _, w := range g.workers {
 				specs = append(specs, w.Machine.Spec())
 			}
+			for id, now := range g.stale {
+				spec := g.worker(now).Machine.Spec()
+				spec.ID = id
+				specs = append(specs, spec)
+			}
 			return specs
 		},
 		Agent:  func(s worker.Spec) worker.Agent { return g.agent(s.ID) },
@@ -113,6 +121,9 @@
 }
 
 func (g *rig) agent(id ident.Worker) worker.Agent {
+	if now, ok := g.stale[id]; ok {
+		id = now
+	}
 	a := g.worker(id).Agent()
 	if g.wrap != nil {
 		return g.wrap(a)
