Keep the homes of guarantees through a short list of workers

Cause: homes were computed from the last list of the platform alone. Owners look only at the guarantees that are homed with them, so nobody repaired it before the next change by an operator. Ruled out: refusing changes while the list is short. The instance cannot tell a short list from a domain that is not built yet. Change: a worker counts for homes for 30 s after it was listed last, and the owner of the first failure domain looks for homes for guarantees without one. The repair itself was not run against a whole installation.

--- a/internal/daemon/rehome.go
+++ b/internal/daemon/rehome.go
@@ -29,7 +29,7 @@
 			return
 		case <-time.After(rehomeEvery):
 		}
-		if !l.shards.hasUnmet() {
+		if !l.shards.hasUnmet() && !l.ownsHomeless() {
 			unmet = 0
 			continue
 		}
@@ -58,6 +58,29 @@
 	return false
 }
 
+// ownsHomeless reports whether a guarantee has no home and this instance owns
+// the first failure domain, so that one instance looks for one. The workers may
+// have been missing from the list when the configuration was committed.
+func (l *life) ownsHomeless() bool {
+	c := l.site.Current()
+	if len(c.Domains) == 0 || !hasHomeless(c) {
+		return false
+	}
+	owner, _, ok := l.shards.summary(c.Domains[0].Name)
+	return ok && owner == l.self.Instance
+}
+
+func hasHomeless(c *config.Config) bool {
+	for _, ws := range c.Workspaces {
+		for _, g := range ws.Guarantees {
+			if len(g.Homes) < g.Count || slices.Contains(g.Homes, "") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // inService returns the workers that the platform lists, without those of the
 // own shards that are silent or quarantined.
 func (s *shards) inService() []worker.Spec {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,8 +1,11 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,16 +36,28 @@
 		mu      sync.Mutex
 		listing Listing
 		read    bool
+		// known are the workers listed within listKept.
+		known map[ident.Worker]sighted
+	}
+
+	// sighted is a worker with the instant at which it was listed last.
+	sighted struct {
+		spec worker.Spec
+		at   time.Time
 	}
 )
 
 const (
 	readEvery   = time.Second
 	readTimeout = time.Second
+	// listKept is the time for which a worker counts after it was listed last.
+	// Homes of guarantees follow the workers, and the list can be short or
+	// empty for a moment.
+	listKept = 30 * time.Second
 )
 
 // New returns an empty roster.
-func New(d Deps) *Roster { return &Roster{deps: d} }
+func New(d Deps) *Roster { return &Roster{deps: d, known: make(map[ident.Worker]sighted)} }
 
 // Run reads the list each second until ctx ends. Without an answer the last
 // list stays.
@@ -67,6 +82,7 @@
 	}
 	r.mu.Lock()
 	r.listing, r.read = l, true
+	r.note(l.Workers, time.Now())
 	r.mu.Unlock()
 	if r.deps.Update != nil {
 		r.deps.Update(l.Endpoints, time.Now())
@@ -94,11 +110,26 @@
 	return in
 }
 
-// AllWorkers returns the workers of all domains.
+// note remembers the listed workers and forgets those that were not listed for
+// long. The lock must be held.
+func (r *Roster) note(listed []worker.Spec, now time.Time) {
+	for _, w := range listed {
+		r.known[w.ID] = sighted{spec: w, at: now}
+	}
+	maps.DeleteFunc(r.known, func(_ ident.Worker, s sighted) bool { return now.Sub(s.at) > listKept })
+}
+
+// AllWorkers returns the workers of all domains that were listed lately, in the
+// order of their names.
 func (r *Roster) AllWorkers() []worker.Spec {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]worker.Spec(nil), r.listing.Workers...)
+	all := make([]worker.Spec, 0, len(r.known))
+	for _, s := range r.known {
+		all = append(all, s.spec)
+	}
+	slices.SortFunc(all, func(a, b worker.Spec) int { return cmp.Compare(a.ID, b.ID) })
+	return all
 }
 
 // Endpoints returns the endpoints of all services.
