--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,9 +1,12 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,16 +44,28 @@
 		endpoints map[netip.AddrPort]ident.Region
 		workers   map[netip.AddrPort]ident.Domain
 		read      bool
+		// known are the workers listed within listKept.
+		known map[ident.Worker]sighted
+	}
+
+	// sighted is a worker with the instant at which it was listed last.
+	sighted struct {
+		spec worker.Spec
+		at   time.Time
 	}
 )
 
 const (
 	readEvery   = time.Second
 	readTimeout = time.Second
+	// listKept is the time for which a worker counts after it was listed last.
+	// Homes of guarantees follow the workers, and the list can be short or
+	// empty for a moment.
+	listKept = 30 * time.Second
 )
 
 // New returns an empty roster.
-func New(d Deps) *Roster { return &Roster{deps: d} }
+func New(d Deps) *Roster { return &Roster{deps: d, known: make(map[ident.Worker]sighted)} }
 
 // Run reads the list each second until ctx ends. Without an answer the last
 // list stays.
@@ -95,6 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listing, r.endpoints, r.workers, r.read = l, endpoints, workers, true
+	r.note(l.Workers, time.Now())
 }
 
 // RegionOfEndpoint returns the region of the endpoint with the address.
@@ -133,11 +149,26 @@
 	return in
 }
 
-// AllWorkers returns the workers of all domains.
+// note remembers the listed workers and forgets those that were not listed for
+// long. The lock must be held.
+func (r *Roster) note(listed []worker.Spec, now time.Time) {
+	for _, w := range listed {
+		r.known[w.ID] = sighted{spec: w, at: now}
+	}
+	maps.DeleteFunc(r.known, func(_ ident.Worker, s sighted) bool { return now.Sub(s.at) > listKept })
+}
+
+// AllWorkers returns the workers of all domains that were listed lately, in the
+// order of their names.
 func (r *Roster) AllWorkers() []worker.Spec {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]worker.Spec(nil), r.listing.Workers...)
+	all := make([]worker.Spec, 0, len(r.known))
+	for _, s := range r.known {
+		all = append(all, s.spec)
+	}
+	slices.SortFunc(all, func(a, b worker.Spec) int { return cmp.Compare(a.ID, b.ID) })
+	return all
 }
 
 // Endpoints returns the endpoints of all services.
