--- a/internal/shape/pack.go
+++ b/internal/shape/pack.go
@@ -46,9 +46,10 @@
 	}
 )
 
-// packSteps bounds the search. The packings of today's size need a few hundred
-// steps; a state that needs more is answered with "does not fit".
-const packSteps = 20000
+// packSteps bounds the work of a search: one for each bin that an item tries,
+// and the number of bins for each item that is looked at. A bound on the tries
+// alone let one search take seconds with 215 workers.
+const packSteps = 100000
 
 // Pack returns how to place all items at once into the bins, and whether it
 // found a way. Each item is placed whole and with its adjacency. When the
@@ -139,7 +140,7 @@
 	if k == len(p.order) {
 		return true
 	}
-	if !p.need[k].Fits(p.free()) {
+	if p.steps -= len(p.bins); p.steps <= 0 || !p.need[k].Fits(p.free()) {
 		return false
 	}
 	if k >= p.fixed && len(p.seen) > 0 {
