Bound the guarantee checks of one decision

Cause: one decision of a shard of 215 workers took 0.77 s in a benchmark whose guarantees do not all pack, and longer where every check ran to its own bound. Ruled out: a bound over the classification too. Used up, it would make a gang inside a guarantee count as lent, and others could take its place. Change: the checks after the classification share a bound and say no beyond it; gangs inside guarantees are first checked all together, which is enough when they fit; unmet guarantees are looked for only when workers or claims change.

--- a/internal/owner/decide.go
+++ b/internal/owner/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/fleet"
+	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
 	"github.com/baobabquay/baobabquay/internal/quota"
 	"github.com/baobabquay/baobabquay/internal/sched"
@@ -74,6 +75,33 @@
 	return w
 }
 
+// unmetIn returns the guarantees that do not fit on the workers in service. The
+// check is repeated only when the workers in service or the guarantees change.
+func (s *Shard) unmetIn(v *sched.View) []string {
+	var healthy []ident.Worker
+	for _, w := range v.Workers {
+		if w.Health == fleet.Healthy {
+			healthy = append(healthy, w.Spec.ID)
+		}
+	}
+	slices.Sort(healthy)
+	s.mu.Lock()
+	last := s.unmet
+	s.mu.Unlock()
+	if slices.Equal(last.healthy, healthy) && slices.Equal(last.claims, v.Guarantees) {
+		return last.reasons
+	}
+	next := unmet{healthy: healthy, claims: v.Guarantees}
+	for _, c := range quota.Unmet(v.Workers, v.Guarantees) {
+		next.reasons = append(next.reasons, fmt.Sprintf(
+			"%s/%s: %d of %v do not fit on the workers in service", c.Workspace, c.Name, c.Count, c.Shape))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unmet = next
+	return next.reasons
+}
+
 func (s *Shard) pastRuns() []sched.Past {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,10 +132,7 @@
 	for _, j := range v.Waiting {
 		sum.WaitingAccelerators += j.Spec.Shape.Total().Accelerators
 	}
-	for _, c := range quota.Unmet(v.Workers, v.Guarantees) {
-		sum.Unmet = append(sum.Unmet, fmt.Sprintf(
-			"%s/%s: %d of %v do not fit on the workers in service", c.Workspace, c.Name, c.Count, c.Shape))
-	}
+	sum.Unmet = s.unmetIn(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sum.Epoch = s.epoch
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -73,6 +73,7 @@
 		// complete with all workers answering.
 		complete map[worker.Attempt]bool
 		judged   time.Time
+		unmet    unmet
 		// records tell bad workers from bad jobs. A new owner starts afresh.
 		records *fleet.Records
 		// past are the run times of the jobs that ended last, oldest first.
@@ -107,6 +108,13 @@
 		at   time.Duration
 	}
 
+	// unmet are the guarantees that do not fit, and for what that was found.
+	unmet struct {
+		healthy []ident.Worker
+		claims  []sched.Home
+		reasons []string
+	}
+
 	// held is a job with the version of its row.
 	held struct {
 		job     jobs.Job
@@ -301,7 +309,7 @@
 	s.ready = false
 	s.outrank = time.Time{}
 	s.complete, s.judged, s.past = nil, time.Time{}, nil
-	s.records = fleet.NewRecords()
+	s.records, s.unmet = fleet.NewRecords(), unmet{}
 }
 
 // noteStore logs when the store stops and starts answering.
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 
 	"github.com/baobabquay/baobabquay/internal/fleet"
@@ -29,6 +30,9 @@
 		// whole shape around the job, because the claim is due again in full
 		// when the job ends.
 		partly []partial
+		// steps is what is left of the work that the checks of the book may
+		// do together. Each check has a bound of its own besides.
+		steps int
 	}
 
 	// partial is a claimed shape and its least members on each bin.
@@ -41,7 +45,7 @@
 // NewBook returns a book in which no claim is used. Only healthy workers are
 // in service.
 func NewBook(workers []fleet.Worker, claims []Claim) *Book {
-	b := &Book{claims: slices.Clone(claims), index: make(map[ident.Worker]int)}
+	b := &Book{claims: slices.Clone(claims), index: make(map[ident.Worker]int), steps: math.MaxInt}
 	for _, w := range workers {
 		if w.Health != fleet.Healthy {
 			continue
@@ -53,6 +57,10 @@
 	return b
 }
 
+// Limit bounds the work of all later checks together. When it is used up every
+// check says no.
+func (b *Book) Limit(steps int) { b.steps = steps }
+
 // Match returns the smallest unused claim of the workspace that covers s.
 func (b *Book) Match(ws ident.Workspace, s shape.Shape) (int, bool) {
 	best := -1
@@ -77,20 +85,27 @@
 // Holds reports whether all unused claims fit together.
 func (b *Book) Holds() bool {
 	items, must := b.kept()
-	_, ok := shape.PackAround(b.bins, items, must)
+	_, ok := shape.PackWithin(b.bins, items, must, &b.steps)
 	return ok
 }
 
 // Keeps reports whether the other claims still fit when a job of shape s uses
 // the claim with index i on the slots. It does not change b.
 func (b *Book) Keeps(i int, s shape.Shape, slots []jobs.Slot) bool {
-	claims, bins, partly := slices.Clone(b.claims), slices.Clone(b.bins), slices.Clone(b.partly)
-	b.Take(i, s, slots)
-	ok := b.Holds()
-	b.claims, b.bins, b.partly = claims, bins, partly
+	next := b.Clone()
+	next.Take(i, s, slots)
+	ok := next.Holds()
+	b.steps = next.steps
 	return ok
 }
 
+// Clone returns a copy that can be changed without changing b.
+func (b *Book) Clone() *Book {
+	next := *b
+	next.claims, next.bins, next.partly = slices.Clone(b.claims), slices.Clone(b.bins), slices.Clone(b.partly)
+	return &next
+}
+
 // Use takes the claim for a job of shape s on the slots if the other claims
 // still fit, and reports whether it did.
 func (b *Book) Use(i int, s shape.Shape, slots []jobs.Slot) bool {
@@ -140,7 +155,7 @@
 	items, must := b.kept()
 	b.claims[i].Count++
 	g := b.claims[i].Shape
-	spreads, ok := shape.PackAround(b.bins, append(items, g), append(must, nil))
+	spreads, ok := shape.PackWithin(b.bins, append(items, g), append(must, nil), &b.steps)
 	if !ok {
 		return nil, false
 	}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -7,11 +7,16 @@
 	"github.com/baobabquay/baobabquay/internal/fleet"
 	"github.com/baobabquay/baobabquay/internal/ident"
 	"github.com/baobabquay/baobabquay/internal/jobs"
+	"github.com/baobabquay/baobabquay/internal/shape"
 )
 
 const (
 	// maxPlaces bounds the places that are compared for one job.
 	maxPlaces = 24
+	// checkSteps bounds the work of the guarantee checks of one decision. At
+	// today's size a decision stays far below it. Beyond it the jobs that need
+	// a check wait for the next decision.
+	checkSteps = 4 * shape.PackSteps
 	// searches bounds the jobs outside guarantees, other than urgent ones, for
 	// which one decision looks for victims. The queue can be long, and each
 	// search compares all places.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -72,6 +72,9 @@
 		}
 	}
 	p.classify()
+	// The bound begins here: if it could end the classification, a gang inside
+	// a guarantee would count as lent.
+	p.book.Limit(checkSteps)
 	return p
 }
 
@@ -93,6 +96,9 @@
 		}
 	}
 	slices.SortFunc(inside, func(a, b *Gang) int { return compareStarts(&a.Job, &b.Job) })
+	if p.insideTogether(inside) {
+		return
+	}
 	holds := p.book.Holds()
 	for _, g := range inside {
 		s := g.Job.Spec.Shape
@@ -107,6 +113,26 @@
 	}
 }
 
+// insideTogether takes the claims of all gangs at once and reports whether the
+// others still fit, which is the usual case. Then they also fit beside each
+// part of the gangs, since the rest of them have their places, so one check is
+// enough. Otherwise nothing is taken.
+func (p *plan) insideTogether(gangs []*Gang) bool {
+	book := p.book.Clone()
+	for _, g := range gangs {
+		i, ok := book.Match(g.Job.Workspace, g.Job.Spec.Shape)
+		if !ok {
+			return false
+		}
+		book.Take(i, g.Job.Spec.Shape, g.Job.Slots)
+	}
+	if !book.Holds() {
+		return false
+	}
+	p.book = book
+	return true
+}
+
 func compareStarts(a, b *jobs.Job) int {
 	return cmp.Or(
 		a.Started.Compare(b.Started),
--- a/internal/shape/pack.go
+++ b/internal/shape/pack.go
@@ -46,10 +46,10 @@
 	}
 )
 
-// packSteps bounds the work of a search: one for each bin that an item tries,
+// PackSteps bounds the work of a search: one for each bin that an item tries,
 // and the number of bins for each item that is looked at. A bound on the tries
 // alone let one search take seconds with 215 workers.
-const packSteps = 100000
+const PackSteps = 100000
 
 // Pack returns how to place all items at once into the bins, and whether it
 // found a way. Each item is placed whole and with its adjacency. When the
@@ -62,14 +62,23 @@
 // PackAround is Pack where item i has at least must[i] members on the bins. A
 // nil spread asks for nothing.
 func PackAround(bins []Bin, items []Shape, must []Spread) ([]Spread, bool) {
+	steps := PackSteps
+	return PackWithin(bins, items, must, &steps)
+}
+
+// PackWithin is PackAround with at most *steps of work, which it subtracts from
+// *steps, so that several searches can share one bound.
+func PackWithin(bins []Bin, items []Shape, must []Spread, steps *int) ([]Spread, bool) {
 	p := packer{
 		bins:  slices.Clone(bins),
 		items: items,
 		order: largestFirst(items),
 		put:   make([]Spread, len(items)),
 		must:  must,
-		steps: packSteps,
+		steps: min(*steps, PackSteps),
 	}
+	before := p.steps
+	defer func() { *steps -= before - max(p.steps, 0) }()
 	slices.SortStableFunc(p.order, func(a, b int) int { return cmp.Compare(len(must[b]), len(must[a])) })
 	for _, m := range must {
 		if m != nil {
