End a removed domain's shard before another starts, and none during a stop

Cause: a domain that was removed and added again started a second shard while the calls of the first were in flight, both under the same lease; a domain that was added during a planned stop started a shard that the stop did not release; one row of an instance that cannot be decoded hid all others. Ruled out: a lease of its own for each shard object; the instance is the holder and its epoch would have to rise. Change: follow waits for the end of a removed shard, release keeps new ones from starting, and the scan of instances skips such a row. Figures: found by reading; no test orders these calls yet.

--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -28,6 +28,8 @@
 
 		mu      sync.Mutex
 		running map[ident.Domain]*runningShard
+		// released is set by the planned stop, after which no shard starts.
+		released bool
 	}
 
 	// shardDeps are the calls of the shards. view and roster are set when
@@ -80,20 +82,46 @@
 	}
 }
 
+// follow ends the shards of domains that c lacks and starts those that it adds.
+// A shard has ended before another one of the same domain can start, because
+// both would act under the same lease.
 func (s *shards) follow(ctx context.Context, c *config.Config) {
+	for _, name := range s.removed(c) {
+		s.end(name)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.released {
+		return
+	}
 	for _, d := range c.Domains {
 		if _, ok := s.running[d.Name]; !ok {
 			s.running[d.Name] = s.start(ctx, d)
 		}
 	}
-	for name, r := range s.running {
+}
+
+func (s *shards) removed(c *config.Config) []ident.Domain {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []ident.Domain
+	for name := range s.running {
 		if _, ok := c.Domain(name); !ok {
-			r.cancel()
-			delete(s.running, name)
+			names = append(names, name)
 		}
 	}
+	return names
+}
+
+func (s *shards) end(name ident.Domain) {
+	s.mu.Lock()
+	r := s.running[name]
+	s.mu.Unlock()
+	r.cancel()
+	<-r.ended
+	s.mu.Lock()
+	delete(s.running, name)
+	s.mu.Unlock()
 }
 
 func (s *shards) start(ctx context.Context, d config.Domain) *runningShard {
@@ -120,6 +148,9 @@
 
 // release ends the shards and hands their leases over.
 func (s *shards) release(ctx context.Context) {
+	s.mu.Lock()
+	s.released = true
+	s.mu.Unlock()
 	var all sync.WaitGroup
 	for _, r := range s.all() {
 		all.Go(func() {
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -158,7 +158,8 @@
 	for _, r := range rows {
 		m, err := record.DecodeMember(r.Value)
 		if err != nil {
-			return fmt.Errorf("row %s: %w", r.Key, err)
+			// A row of another version of the program must not hide the rest.
+			continue
 		}
 		seen = append(seen, sighted{info: Info(m), version: r.Version})
 	}
