Call the renewal of a whole worker and of a lease a heartbeat

Cause: the field's name for a periodic sign of life is heartbeat; the code had its own short form. Ruled out: nothing. Change: names in code, row keys, paths and the design page. Conclusion: one name in all places.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 KNOWN_RED     := $(shell sed -n 's/^test: *\([A-Za-z0-9_\/]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP          := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: help build test matrix lint format proto demo bench bench-requests
+.PHONY: help build test matrix lint format proto demo bench bench-requests capacity
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -51,3 +51,6 @@
 $(LINT):
 	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 	mv $(BIN)/golangci-lint $@
+
+capacity: build ## measure processor time and memory of each role at three sizes
+	scripts/capacity
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -81,10 +81,10 @@
 		Fence: func(ctx context.Context, f worker.Fence) (worker.Report, error) {
 			return workerCall(ctx, &w.Faults, true, func() (worker.Report, error) { return w.delayed(m.Fence(ctx, f)) })
 		},
-		Beat: func(ctx context.Context, b worker.Beat) (worker.Report, error) {
+		Heartbeat: func(ctx context.Context, b worker.Heartbeat) (worker.Report, error) {
 			// Like a report it comes with each round; a fault of the next
 			// write is meant for an order.
-			return workerCall(ctx, &w.Faults, false, func() (worker.Report, error) { return w.delayed(m.Beat(ctx, b)) })
+			return workerCall(ctx, &w.Faults, false, func() (worker.Report, error) { return w.delayed(m.Heartbeat(ctx, b)) })
 		},
 		Reserve:    order(&w.Faults, m.Reserve),
 		Start:      order(&w.Faults, m.Start),
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -1,9 +1,9 @@
 // Package lease gives one instance at a time the ownership of a shard.
 //
 // A shard has two rows. The lease row names the holder and the epoch and
-// changes only when the holder changes. The beat row is rewritten by the
+// changes only when the holder changes. The heartbeat row is rewritten by the
 // holder each Renewal. Another instance may take the lease when it has seen
-// the same version of the beat row for TTL of its own clock, and its
+// the same version of the heartbeat row for TTL of its own clock, and its
 // transaction checks that version, so a renewal that arrives in time always
 // wins and no two clocks are compared.
 //
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -41,12 +41,12 @@
 
 	// sighting is what was read of the rows and when it was first seen so.
 	sighting struct {
-		lease   store.Row
-		form    record.Lease
-		beat    store.Row
-		since   time.Time
-		at      time.Time // instant of the last read
-		present bool
+		lease     store.Row
+		form      record.Lease
+		heartbeat store.Row
+		since     time.Time
+		at        time.Time // instant of the last read
+		present   bool
 	}
 )
 
@@ -149,7 +149,7 @@
 	s := k.State()
 	_, err := k.table.Commit(ctx, store.Txn{
 		Checks: []store.Check{s.Check},
-		Puts:   []store.Put{{Key: record.BeatKey(k.domain), Value: []byte(`"` + string(k.instance) + `"`)}},
+		Puts:   []store.Put{{Key: record.HeartbeatKey(k.domain), Value: []byte(`"` + string(k.instance) + `"`)}},
 	})
 	if store.IsConflict(err) {
 		k.drop()
@@ -199,15 +199,15 @@
 	if err != nil {
 		return State{}, fmt.Errorf("take lease of %s: %w", k.domain, err)
 	}
-	leaseKey, beatKey := record.LeaseKey(k.domain), record.BeatKey(k.domain)
+	leaseKey, heartbeatKey := record.LeaseKey(k.domain), record.HeartbeatKey(k.domain)
 	version, err := k.table.Commit(ctx, store.Txn{
 		Checks: []store.Check{
 			{Key: leaseKey, Version: seen.lease.Version},
-			{Key: beatKey, Version: seen.beat.Version},
+			{Key: heartbeatKey, Version: seen.heartbeat.Version},
 		},
 		Puts: []store.Put{
 			{Key: leaseKey, Value: value},
-			{Key: beatKey, Value: []byte(`"` + string(k.instance) + `"`)},
+			{Key: heartbeatKey, Value: []byte(`"` + string(k.instance) + `"`)},
 		},
 	})
 	if store.IsConflict(err) {
@@ -236,11 +236,11 @@
 	if err != nil {
 		return sighting{}, fmt.Errorf("read lease of %s: %w", k.domain, err)
 	}
-	beatRow, err := getRow(ctx, k.table, record.BeatKey(k.domain))
+	heartbeatRow, err := getRow(ctx, k.table, record.HeartbeatKey(k.domain))
 	if err != nil {
-		return sighting{}, fmt.Errorf("read beat of %s: %w", k.domain, err)
+		return sighting{}, fmt.Errorf("read heartbeat of %s: %w", k.domain, err)
 	}
-	s := sighting{lease: leaseRow, beat: beatRow, since: now, at: now, present: leaseRow.Version != 0}
+	s := sighting{lease: leaseRow, heartbeat: heartbeatRow, since: now, at: now, present: leaseRow.Version != 0}
 	if s.present {
 		if s.form, err = record.DecodeLease(leaseRow.Value); err != nil {
 			return sighting{}, fmt.Errorf("read lease of %s: %w", k.domain, err)
@@ -252,7 +252,7 @@
 	// A gap in the reads is no evidence against the holder: while the store is
 	// down it cannot renew either.
 	seenOn := !old.since.IsZero() && now.Sub(old.at) < TTL
-	if seenOn && old.lease.Version == s.lease.Version && old.beat.Version == s.beat.Version {
+	if seenOn && old.lease.Version == s.lease.Version && old.heartbeat.Version == s.heartbeat.Version {
 		s.since = old.since
 	}
 	k.seen = s
--- a/internal/matrix/calls.go
+++ b/internal/matrix/calls.go
@@ -117,9 +117,9 @@
 			})
 			return r, err
 		},
-		Beat: func(ctx context.Context, b worker.Beat) (r worker.Report, err error) {
+		Heartbeat: func(ctx context.Context, b worker.Heartbeat) (r worker.Report, err error) {
 			err = do(ctx, OpReport, func(ctx context.Context, a worker.Agent) error {
-				got, err := a.Beat(ctx, b)
+				got, err := a.Heartbeat(ctx, b)
 				r = got
 				return err
 			})
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -139,12 +139,12 @@
 
 func (s *Shard) call(ctx context.Context, r *round, t tracked, steady bool) (worker.Report, error) {
 	if t.fenced && steady {
-		report, err := t.agent.Beat(ctx, worker.Beat{
+		report, err := t.agent.Heartbeat(ctx, worker.Heartbeat{
 			Header: s.header(r), Boot: t.report.Boot, Changes: t.report.Changes, Lease: gang.Lease,
 		})
 		s.noteExtended(t.spec.ID)
 		if err != nil {
-			return worker.Report{}, fmt.Errorf("beat: %w", err)
+			return worker.Report{}, fmt.Errorf("heartbeat: %w", err)
 		}
 		return report, nil
 	}
--- a/internal/plat/agent.go
+++ b/internal/plat/agent.go
@@ -50,7 +50,7 @@
 		Payload   []byte      `json:"payload,omitempty"`
 	}
 
-	beatForm struct {
+	heartbeatForm struct {
 		headerForm
 		Boot    string `json:"boot"`
 		Changes int64  `json:"changes"`
@@ -97,7 +97,7 @@
 		Tick    span         `json:"tick"`
 		Boot    string       `json:"boot"`
 		Changes int64        `json:"changes"`
-		// Unchanged is set in the answer to a beat that left the statuses out.
+		// Unchanged is set in the answer to a heartbeat that left the statuses out.
 		Unchanged bool         `json:"unchanged,omitempty"`
 		Statuses  []statusForm `json:"statuses,omitempty"`
 	}
@@ -107,7 +107,7 @@
 	pathReport     = "/worker/report"
 	pathFence      = "/worker/fence"
 	pathReserve    = "/worker/reserve"
-	pathBeat       = "/worker/beat"
+	pathHeartbeat  = "/worker/heartbeat"
 	pathStart      = "/worker/start"
 	pathRenew      = "/worker/renew"
 	pathCheckpoint = "/worker/checkpoint"
@@ -126,8 +126,8 @@
 		Fence: func(ctx context.Context, f worker.Fence) (worker.Report, error) {
 			return reportCall(ctx, to, pathFence, headerForm(f.Header))
 		},
-		Beat: func(ctx context.Context, b worker.Beat) (worker.Report, error) {
-			return reportCall(ctx, to, pathBeat, beatForm{headerForm(b.Header), b.Boot, b.Changes, span(b.Lease)})
+		Heartbeat: func(ctx context.Context, b worker.Heartbeat) (worker.Report, error) {
+			return reportCall(ctx, to, pathHeartbeat, heartbeatForm{headerForm(b.Header), b.Boot, b.Changes, span(b.Lease)})
 		},
 		Reserve: func(ctx context.Context, r worker.Reserve) error {
 			return orderCall(ctx, to, pathReserve, reserveForm{
@@ -167,8 +167,8 @@
 			r, err := a.Fence(ctx, worker.Fence{Header: worker.Header(f)})
 			return reportToForm(r), err
 		}),
-		route(pathBeat, func(ctx context.Context, f beatForm) (reportForm, error) {
-			r, err := a.Beat(ctx, worker.Beat{
+		route(pathHeartbeat, func(ctx context.Context, f heartbeatForm) (reportForm, error) {
+			r, err := a.Heartbeat(ctx, worker.Heartbeat{
 				Header: worker.Header(f.headerForm), Boot: f.Boot, Changes: f.Changes, Lease: time.Duration(f.Lease),
 			})
 			return reportToForm(r), err
--- a/internal/record/key.go
+++ b/internal/record/key.go
@@ -8,23 +8,23 @@
 
 // The keys of the rows.
 const (
-	ConfigKey     = "config/current"
-	ConfigHeadKey = "config/head"
-	MemberPrefix  = "member/"
-	leasePrefix   = "lease/"
-	beatPrefix    = "beat/"
-	jobPrefix     = "job/"
-	queuePrefix   = "queue/"
-	headPrefix    = "queueHead/"
-	claimPrefix   = "claim/"
-	resultPrefix  = "result/"
+	ConfigKey       = "config/current"
+	ConfigHeadKey   = "config/head"
+	MemberPrefix    = "member/"
+	leasePrefix     = "lease/"
+	heartbeatPrefix = "heartbeat/"
+	jobPrefix       = "job/"
+	queuePrefix     = "queue/"
+	headPrefix      = "queueHead/"
+	claimPrefix     = "claim/"
+	resultPrefix    = "result/"
 )
 
 // LeaseKey returns the key of the lease on a shard.
 func LeaseKey(d ident.Domain) string { return leasePrefix + string(d) }
 
-// BeatKey returns the key of the row that the holder of a lease rewrites.
-func BeatKey(d ident.Domain) string { return beatPrefix + string(d) }
+// HeartbeatKey returns the key of the row that the holder of a lease rewrites.
+func HeartbeatKey(d ident.Domain) string { return heartbeatPrefix + string(d) }
 
 // MemberKey returns the key of an instance's row.
 func MemberKey(i ident.Instance) string { return MemberPrefix + string(i) }
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -70,9 +70,9 @@
 		Lease    time.Duration
 	}
 
-	// Beat extends the leases of all running attempts by Lease, if the worker
+	// Heartbeat extends the leases of all running attempts by Lease, if the worker
 	// is as the sender knows it: the same process with the same Changes.
-	Beat struct {
+	Heartbeat struct {
 		Header
 		Boot    string
 		Changes int64
@@ -138,7 +138,7 @@
 		Boot string
 		// Changes rises with each change of the attempts other than progress.
 		Changes int64
-		// Unchanged is set in the answer to a Beat that found the worker as
+		// Unchanged is set in the answer to a Heartbeat that found the worker as
 		// the sender knew it. Statuses are then left out.
 		Unchanged bool
 		Statuses  []Status
@@ -148,7 +148,7 @@
 	Agent struct {
 		Report     func(ctx context.Context) (Report, error)
 		Fence      func(ctx context.Context, f Fence) (Report, error)
-		Beat       func(ctx context.Context, b Beat) (Report, error)
+		Heartbeat  func(ctx context.Context, b Heartbeat) (Report, error)
 		Reserve    func(ctx context.Context, r Reserve) error
 		Start      func(ctx context.Context, s Start) error
 		Renew      func(ctx context.Context, r Renew) error
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -135,7 +135,7 @@
 	return Agent{
 		Report:     func(context.Context) (Report, error) { return m.Report(time.Now()), nil },
 		Fence:      func(_ context.Context, f Fence) (Report, error) { return m.Fence(f, time.Now()) },
-		Beat:       func(_ context.Context, b Beat) (Report, error) { return m.Beat(b, time.Now()) },
+		Heartbeat:  func(_ context.Context, b Heartbeat) (Report, error) { return m.Heartbeat(b, time.Now()) },
 		Reserve:    func(_ context.Context, r Reserve) error { return m.Reserve(r, time.Now()) },
 		Start:      func(_ context.Context, s Start) error { return m.Start(s, time.Now()) },
 		Renew:      func(_ context.Context, r Renew) error { return m.Renew(r, time.Now()) },
@@ -183,9 +183,9 @@
 	return m.report(now), nil
 }
 
-// Beat extends the leases of all running attempts if the worker is as the
+// Heartbeat extends the leases of all running attempts if the worker is as the
 // sender knows it, and otherwise returns the state without extending any.
-func (m *Machine) Beat(b Beat, now time.Time) (Report, error) {
+func (m *Machine) Heartbeat(b Heartbeat, now time.Time) (Report, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := m.admit(b.Header); err != nil {
--- a/internal/worker/machine_test.go
+++ b/internal/worker/machine_test.go
@@ -52,9 +52,9 @@
 	}, time.Now()))
 }
 
-func (s *script) beat(known Report, lease time.Duration) {
-	r, err := s.m.Beat(Beat{Boot: known.Boot, Changes: known.Changes, Header: Header{Epoch: 1}, Lease: lease}, time.Now())
-	s.note(fmt.Sprintf("beat lease %v unchanged %v statuses %d", lease, r.Unchanged, len(r.Statuses)), err)
+func (s *script) heartbeat(known Report, lease time.Duration) {
+	r, err := s.m.Heartbeat(Heartbeat{Boot: known.Boot, Changes: known.Changes, Header: Header{Epoch: 1}, Lease: lease}, time.Now())
+	s.note(fmt.Sprintf("heartbeat lease %v unchanged %v statuses %d", lease, r.Unchanged, len(r.Statuses)), err)
 }
 
 func (s *script) renew(a Attempt, lease time.Duration) {
@@ -105,16 +105,16 @@
 		s.boot = "earlier"
 		s.start(first, Header{Epoch: 1}, s.tick(), true)
 	}},
-	{"beat", "a renewal of the whole worker extends tasks that its sender does not know", func(s *script) {
+	{"heartbeat", "a renewal of the whole worker extends tasks that its sender does not know", func(s *script) {
 		s.reserve(first, 1, 1)
 		s.start(first, Header{Epoch: 1}, s.tick(), true)
 		known := s.m.Report(time.Now())
-		s.beat(known, time.Minute)
+		s.heartbeat(known, time.Minute)
 		s.reserve(second, 1, 1)
 		s.wait(5 * time.Second)
-		s.beat(known, time.Hour)
+		s.heartbeat(known, time.Hour)
 		s.wait(time.Minute)
-		s.beat(known, time.Hour)
+		s.heartbeat(known, time.Hour)
 	}},
 	{"domainOut", "work starts in a domain that was taken out of service", func(s *script) {
 		s.reserve(first, 1, 1)
