Give the values of the request and submit chains names of the field

Cause: lane and passage needed explaining. Change: serviceState, delivery and submission. Conclusion: names that a reader of the field expects.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -47,11 +47,11 @@
 	// Intake handles the jobs of callers. It is safe for concurrent use.
 	Intake struct {
 		deps   Deps
-		submit *pipe.Chain[*passage]
+		submit *pipe.Chain[*submission]
 	}
 
-	// passage is the value that passes through the submit chain.
-	passage struct {
+	// submission is the value that passes through the submit chain.
+	submission struct {
 		sub    Submission
 		config *config.Config
 		job    jobs.Job
@@ -78,12 +78,12 @@
 func New(d Deps) *Intake {
 	in := &Intake{deps: d}
 	in.submit = pipe.New("submit",
-		pipe.Filter[*passage]{Name: "validate", Do: in.validate},
-		pipe.Filter[*passage]{Name: "recall", Do: in.recall},
-		pipe.Filter[*passage]{Name: "assign", Do: in.assign},
-		pipe.Filter[*passage]{Name: "bound", Do: in.bound},
-		pipe.Filter[*passage]{Name: "record", Do: in.record},
-		pipe.Filter[*passage]{Name: "notify", Do: in.notify},
+		pipe.Filter[*submission]{Name: "validate", Do: in.validate},
+		pipe.Filter[*submission]{Name: "recall", Do: in.recall},
+		pipe.Filter[*submission]{Name: "assign", Do: in.assign},
+		pipe.Filter[*submission]{Name: "bound", Do: in.bound},
+		pipe.Filter[*submission]{Name: "record", Do: in.record},
+		pipe.Filter[*submission]{Name: "notify", Do: in.notify},
 	)
 	return in
 }
@@ -92,7 +92,7 @@
 func (in *Intake) Submit(ctx context.Context, sub Submission) (jobs.Job, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
-	p := &passage{sub: sub, config: in.deps.Config()}
+	p := &submission{sub: sub, config: in.deps.Config()}
 	if err := in.submit.Run(ctx, p); err != nil && !p.stored {
 		in.deps.Log.Write(event.JobRefused, "workspace", sub.Workspace, "request", sub.Request, "reason", err.Error())
 		return jobs.Job{}, asRefusal("submit", err)
@@ -192,7 +192,7 @@
 	return storeRefusal("cancel", fmt.Errorf("%w: %w", earlier, err))
 }
 
-func (in *Intake) validate(_ context.Context, p *passage) error {
+func (in *Intake) validate(_ context.Context, p *submission) error {
 	if err := p.sub.Spec.Shape.Check(); err != nil {
 		return refuse(ReasonInvalid, err, "shape")
 	}
@@ -211,7 +211,7 @@
 // recall takes the job of an earlier submission with the same request
 // identifier, before anything is checked that may have changed since then. A
 // refusal would tell the caller that the job does not exist.
-func (in *Intake) recall(ctx context.Context, p *passage) error {
+func (in *Intake) recall(ctx context.Context, p *submission) error {
 	if p.sub.Request == "" {
 		return nil
 	}
@@ -225,7 +225,7 @@
 	return p.take(j)
 }
 
-func (in *Intake) assign(_ context.Context, p *passage) error {
+func (in *Intake) assign(_ context.Context, p *submission) error {
 	if p.stored {
 		return nil
 	}
@@ -247,7 +247,7 @@
 
 // bound refuses a job when too many of its workspace wait or run already. The
 // bound is not exact when several instances take jobs at once.
-func (in *Intake) bound(ctx context.Context, p *passage) error {
+func (in *Intake) bound(ctx context.Context, p *submission) error {
 	w, ok := p.config.Workspace(p.sub.Workspace)
 	if p.stored || !ok || w.MaxQueuedJobs <= 0 {
 		return nil
@@ -268,7 +268,7 @@
 	return r
 }
 
-func (in *Intake) record(ctx context.Context, p *passage) error {
+func (in *Intake) record(ctx context.Context, p *submission) error {
 	if p.stored {
 		return nil
 	}
@@ -289,7 +289,7 @@
 
 // adopt takes the job that stands in the row of this submission: it was made
 // by this try or by an earlier one with the same request identifier.
-func (in *Intake) adopt(ctx context.Context, p *passage, cause error) error {
+func (in *Intake) adopt(ctx context.Context, p *submission, cause error) error {
 	j, _, err := in.load(ctx, p.job.Workspace, p.job.ID)
 	if err != nil {
 		return storeRefusal("submit", fmt.Errorf("%w: %w", store.ErrUncertain, cause))
@@ -298,7 +298,7 @@
 }
 
 // take makes j the job of the submission if both ask for the same work.
-func (p *passage) take(j jobs.Job) error {
+func (p *submission) take(j jobs.Job) error {
 	if !j.Spec.Equal(p.sub.Spec) {
 		return refuse(ReasonReused, nil, "request identifier %s was used for another job", p.sub.Request)
 	}
@@ -306,7 +306,7 @@
 	return nil
 }
 
-func (in *Intake) notify(_ context.Context, p *passage) error {
+func (in *Intake) notify(_ context.Context, p *submission) error {
 	if !p.job.State.Ended() {
 		in.deps.Notify(p.job.Domain, p.job.Workspace, p.job.ID)
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -12,17 +12,17 @@
 )
 
 // deliver makes attempts until one has an answer or no other is allowed.
-func (r *Relay) deliver(ctx context.Context, p *passage) error {
+func (r *Relay) deliver(ctx context.Context, p *delivery) error {
 	if p.settled {
 		return nil
 	}
-	p.lane.budget.First()
+	p.state.budget.First()
 	for {
 		p.mayRun, p.leased, p.result = false, false, route.Unsent
 		err := r.attempt.Run(ctx, p)
 		if p.leased {
 			r.routes.Release(p.lease, p.result, time.Now())
-			p.lane.refresh(r.routes, p.req.Service)
+			p.state.refresh(r.routes, p.req.Service)
 		}
 		if err == nil {
 			return nil
@@ -36,7 +36,7 @@
 
 // next waits until another attempt may be made. It returns the final error if
 // none may.
-func (r *Relay) next(ctx context.Context, p *passage, err error) error {
+func (r *Relay) next(ctx context.Context, p *delivery, err error) error {
 	var h *heldError
 	if errors.As(err, &h) {
 		return r.hold(ctx, p, h)
@@ -49,12 +49,12 @@
 	case p.lost && p.req.NonIdempotent:
 		return final
 	case notSent:
-		p.lane.retries.Inc()
+		p.state.retries.Inc()
 		return nil
-	case !p.lane.budget.Retry():
+	case !p.state.budget.Retry():
 		return final
 	}
-	p.lane.retries.Inc()
+	p.state.retries.Inc()
 	if !sleep(ctx, r.settings.Backoff.Delay(p.attempts-1)) {
 		return final
 	}
@@ -68,7 +68,7 @@
 }
 
 // failure returns the refusal that stands for the error of an attempt.
-func (p *passage) failure(err error) error {
+func (p *delivery) failure(err error) error {
 	var refused *RefusedError
 	switch {
 	case isFinal(err):
@@ -84,7 +84,7 @@
 }
 
 // route selects an endpoint, and waits for one if all are busy.
-func (r *Relay) route(ctx context.Context, p *passage) error {
+func (r *Relay) route(ctx context.Context, p *delivery) error {
 	for {
 		err := r.pick(p, time.Now())
 		if err == nil {
@@ -102,7 +102,7 @@
 }
 
 // pick takes a lease on an endpoint, preferably on one that was not tried.
-func (r *Relay) pick(p *passage, now time.Time) error {
+func (r *Relay) pick(p *delivery, now time.Time) error {
 	lease, err := r.routes.Pick(p.req.Service, p.req.Region, p.tried, now)
 	if err != nil && len(p.tried) > 0 {
 		lease, err = r.routes.Pick(p.req.Service, p.req.Region, nil, now)
@@ -116,7 +116,7 @@
 }
 
 // send has the selected endpoint run the request.
-func (r *Relay) send(ctx context.Context, p *passage) error {
+func (r *Relay) send(ctx context.Context, p *delivery) error {
 	e := p.lease.Endpoint()
 	p.attempts++
 	p.attempt = Attempt{
@@ -125,7 +125,7 @@
 	}
 	r.log.Write(event.RequestRouted, "workspace", p.req.Workspace, "request", p.req.ID, "service", p.req.Service,
 		"endpoint", e.Name, "domain", e.Domain, "attempt", p.attempts, "reason", routeReason(p.lease.Local()))
-	p.lane.attempts.Inc()
+	p.state.attempts.Inc()
 	p.mayRun = true
 	start := time.Now()
 	reply, err := r.calls.Send(ctx, e, p.attempt)
@@ -140,12 +140,12 @@
 }
 
 // sendFailed records what the error tells about the endpoint and the request.
-func (r *Relay) sendFailed(ctx context.Context, p *passage, took time.Duration, err error) error {
+func (r *Relay) sendFailed(ctx context.Context, p *delivery, took time.Duration, err error) error {
 	var refused *RefusedError
 	p.mayRun = !r.calls.Guards.NotRun(err)
 	switch {
 	case errors.As(err, &refused):
-		p.lane.refusals.Inc()
+		p.state.refusals.Inc()
 		p.result = route.Refused
 		if refused.Leaving {
 			r.calls.Guards.MarkLeaving(p.lease.Endpoint().Name, time.Now())
@@ -159,7 +159,7 @@
 }
 
 // check lets only the whole answer to this attempt pass.
-func (r *Relay) check(_ context.Context, p *passage) error {
+func (r *Relay) check(_ context.Context, p *delivery) error {
 	if !r.calls.Guards.Matches(p.attempt, p.reply) {
 		p.result = route.Failed
 		return fmt.Errorf("reply of %s echoes %q attempt %d: %w", p.lease.Endpoint().Name, p.reply.ID, p.reply.Attempt, errReply)
--- a/internal/relay/passage.go
+++ b/internal/relay/delivery.go
@@ -16,12 +16,12 @@
 )
 
 type (
-	// passage is the value that goes through the chains. One thread at a time
+	// delivery is the value that goes through the chains. One thread at a time
 	// works on it.
-	passage struct {
+	delivery struct {
 		req     Request
 		service config.Service
-		lane    *lane
+		state   *serviceState
 		// admitted is true while the request holds a place of the queue.
 		admitted bool
 
@@ -59,20 +59,20 @@
 )
 
 // run passes the request through the chain and logs its outcome.
-func (r *Relay) run(ctx context.Context, p *passage) Answer {
+func (r *Relay) run(ctx context.Context, p *delivery) Answer {
 	err := r.path.Run(ctx, p)
 	p.leaveQueue()
 	ans := p.conclude(err)
-	if p.lane != nil {
-		p.lane.outcomes[ans.Outcome].Inc()
+	if p.state != nil {
+		p.state.outcomes[ans.Outcome].Inc()
 	}
 	r.report(p, ans)
 	return ans
 }
 
-// conclude returns the answer of a passage that ended with err. An error that
+// conclude returns the answer of a delivery that ended with err. An error that
 // is not a refusal is the end of the deadline between two steps.
-func (p *passage) conclude(err error) Answer {
+func (p *delivery) conclude(err error) Answer {
 	if err == nil {
 		return p.ans
 	}
@@ -87,16 +87,16 @@
 	return ans
 }
 
-// inDoubt reports whether the request may have run although the passage ended
+// inDoubt reports whether the request may have run although the delivery ended
 // with a refusal: an attempt was lost, an unresolved claim may turn out to be
 // another instance's, the claim was handed to another instance, or an earlier
 // submission may have run elsewhere.
-func (p *passage) inDoubt() bool {
+func (p *delivery) inDoubt() bool {
 	earlier := p.req.NonIdempotent && p.req.Resubmitted
 	return p.lost || !p.claim.sure && (p.claim.maybe || p.claim.holder != "" || earlier)
 }
 
-func (r *Relay) report(p *passage, ans Answer) {
+func (r *Relay) report(p *delivery, ans Answer) {
 	id := event.RequestLost
 	switch ans.Outcome {
 	case Done:
@@ -109,7 +109,7 @@
 		"attempts", p.attempts, "reason", ans.Reason, "detail", ans.Detail)
 }
 
-func (r *Relay) validate(_ context.Context, p *passage) error {
+func (r *Relay) validate(_ context.Context, p *delivery) error {
 	for _, name := range []string{string(p.req.Workspace), string(p.req.ID), string(p.req.Service)} {
 		if err := ident.Check(name); err != nil {
 			return refuse(NotRun, ReasonInvalid, err.Error())
@@ -127,16 +127,16 @@
 		return refuse(NotRun, ReasonTooLarge, fmt.Sprintf("body of %d bytes, at most %d are allowed", n, c.Limits.MaxBody))
 	}
 	p.service = s
-	p.lane = r.lane(c, s, p.queueLimit())
+	p.state = r.stateOf(c, s, p.queueLimit())
 	return nil
 }
 
 // admit waits for a place in the queue of the service.
-func (r *Relay) admit(ctx context.Context, p *passage) error {
+func (r *Relay) admit(ctx context.Context, p *delivery) error {
 	wait := time.Duration(queueShare * float64(time.Until(p.req.Deadline)))
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	err := p.lane.queue.Acquire(waitCtx, p.req.Workspace, p.req.Class)
+	err := p.state.queue.Acquire(waitCtx, p.req.Workspace, p.req.Class)
 	switch {
 	case errors.Is(err, limit.ErrShed):
 		return refuseFor(NotRun, ReasonOverload, err.Error(), overloadRetry)
@@ -152,7 +152,7 @@
 // claim makes this instance the one that may run a non-idempotent request. The
 // request gives its place in the queue back while it waits for the store, so
 // that a slow store does not keep idempotent requests from the endpoints.
-func (r *Relay) claim(ctx context.Context, p *passage) error {
+func (r *Relay) claim(ctx context.Context, p *delivery) error {
 	if !p.req.NonIdempotent {
 		return nil
 	}
@@ -163,11 +163,11 @@
 		return nil
 	}
 	p.leaveQueue()
-	if !p.lane.enterClaim(p.queueLimit()) {
+	if !p.state.enterClaim(p.queueLimit()) {
 		return refuseFor(NotRun, ReasonOverload, "too many requests wait for the store", overloadRetry)
 	}
 	err := r.take(ctx, p)
-	p.lane.leaveClaim()
+	p.state.leaveClaim()
 	if err != nil || p.settled {
 		return err
 	}
@@ -176,7 +176,7 @@
 
 // startClaim sets the end of a new claim, and gives up one that is too old to
 // be used.
-func (p *passage) startClaim(now time.Time, life time.Duration) error {
+func (p *delivery) startClaim(now time.Time, life time.Duration) error {
 	if p.claim.until.IsZero() {
 		p.claim.until = now.Add(life)
 	}
@@ -187,7 +187,7 @@
 	return refuse(Unknown, ReasonForgotten, "the claim is too old to be used")
 }
 
-func (r *Relay) take(ctx context.Context, p *passage) error {
+func (r *Relay) take(ctx context.Context, p *delivery) error {
 	if p.claim.holder != "" {
 		return r.ask(ctx, p, p.claim.holder)
 	}
@@ -211,7 +211,7 @@
 
 // ask gets the outcome from the instance that claimed the request, or from the
 // one that the claim was handed to.
-func (r *Relay) ask(ctx context.Context, p *passage, holder ident.Instance) error {
+func (r *Relay) ask(ctx context.Context, p *delivery, holder ident.Instance) error {
 	for range maxHandovers {
 		asked := time.Now()
 		ans, err := r.calls.Resolve(ctx, holder, p.req.Workspace, p.req.ID)
@@ -235,7 +235,7 @@
 }
 
 // answer builds the caller's answer from the endpoint's reply.
-func (r *Relay) answer(_ context.Context, p *passage) error {
+func (r *Relay) answer(_ context.Context, p *delivery) error {
 	if p.settled {
 		return nil
 	}
@@ -243,14 +243,14 @@
 	return nil
 }
 
-func (p *passage) leaveQueue() {
+func (p *delivery) leaveQueue() {
 	if p.admitted {
-		p.lane.queue.Release(p.req.Workspace)
+		p.state.queue.Release(p.req.Workspace)
 		p.admitted = false
 	}
 }
 
-func (p *passage) queueLimit() int {
+func (p *delivery) queueLimit() int {
 	if p.service.QueueLimit > 0 {
 		return p.service.QueueLimit
 	}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -138,7 +138,7 @@
 func (r *Relay) fly(f *flight, req Request) {
 	defer r.busy.leaveFlight()
 	defer f.cancel()
-	p := &passage{req: req, claim: f.claim}
+	p := &delivery{req: req, claim: f.claim}
 	ans := r.run(f.ctx, p)
 	now, kept := time.Now(), false
 	r.flights.Update(f.key, func(present *flight, ok bool) (*flight, bool) {
@@ -163,7 +163,7 @@
 }
 
 // lastStage returns what is remembered of a request, or flying for nothing.
-func (p *passage) lastStage(ans Answer) stage {
+func (p *delivery) lastStage(ans Answer) stage {
 	switch {
 	case !p.req.NonIdempotent:
 		return flying
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -19,7 +19,7 @@
 }
 
 // share ends the attempt if the request must wait for the link.
-func (r *Relay) share(_ context.Context, p *passage) error {
+func (r *Relay) share(_ context.Context, p *delivery) error {
 	if r.calls.Share == nil {
 		return nil
 	}
@@ -33,7 +33,7 @@
 // hold waits until the request may be routed again. The request holds neither
 // an endpoint nor a place of the queue meanwhile, so that urgent requests find
 // both free, and the endpoint does not count as tried.
-func (r *Relay) hold(ctx context.Context, p *passage, h *heldError) error {
+func (r *Relay) hold(ctx context.Context, p *delivery, h *heldError) error {
 	p.tried = p.tried[:len(p.tried)-1]
 	defer r.held.Add(-1)
 	if r.held.Add(1) > r.settings.MaxHeld || h.hopeless {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,21 +93,21 @@
 		routes   *route.Table
 		log      event.Log
 		metrics  *metrics.Set
-		lanes    *shard.Map[ident.Service, *lane]
+		services *shard.Map[ident.Service, *serviceState]
 		flights  *shard.Map[flightKey, *flight]
 		memory   memory
 		busy     gauge
 		// held counts the requests that wait for the link.
 		held    atomic.Int64
-		path    *pipe.Chain[*passage]
-		attempt *pipe.Chain[*passage]
+		path    *pipe.Chain[*delivery]
+		attempt *pipe.Chain[*delivery]
 	}
 )
 
 // Numbers of parts of the sharded maps.
 const (
-	flightParts = 64
-	laneParts   = 16
+	flightParts  = 64
+	serviceParts = 16
 )
 
 // DefaultSettings returns the settings in use where none are given.
@@ -135,23 +135,23 @@
 		routes:   routes,
 		log:      log,
 		metrics:  metrics.NewSet(),
-		lanes:    shard.New[ident.Service, *lane](laneParts),
+		services: shard.New[ident.Service, *serviceState](serviceParts),
 		flights:  shard.New[flightKey, *flight](flightParts),
 		memory:   memory{maxCount: s.MemoryCount, maxBytes: s.MemoryBytes},
 	}
 	r.setGuards()
 	r.path = pipe.New("request",
-		pipe.Filter[*passage]{Name: "validate", Do: r.validate},
-		pipe.Filter[*passage]{Name: "admit", Do: r.admit},
-		pipe.Filter[*passage]{Name: "claim", Do: r.claim},
-		pipe.Filter[*passage]{Name: "deliver", Do: r.deliver},
-		pipe.Filter[*passage]{Name: "answer", Do: r.answer},
+		pipe.Filter[*delivery]{Name: "validate", Do: r.validate},
+		pipe.Filter[*delivery]{Name: "admit", Do: r.admit},
+		pipe.Filter[*delivery]{Name: "claim", Do: r.claim},
+		pipe.Filter[*delivery]{Name: "deliver", Do: r.deliver},
+		pipe.Filter[*delivery]{Name: "answer", Do: r.answer},
 	)
 	r.attempt = pipe.New("attempt",
-		pipe.Filter[*passage]{Name: "route", Do: r.route},
-		pipe.Filter[*passage]{Name: "share", Do: r.share},
-		pipe.Filter[*passage]{Name: "send", Do: r.send},
-		pipe.Filter[*passage]{Name: "check", Do: r.check},
+		pipe.Filter[*delivery]{Name: "route", Do: r.route},
+		pipe.Filter[*delivery]{Name: "share", Do: r.share},
+		pipe.Filter[*delivery]{Name: "send", Do: r.send},
+		pipe.Filter[*delivery]{Name: "check", Do: r.check},
 	)
 	return r
 }
@@ -162,7 +162,7 @@
 // UpdateEndpoints replaces the endpoints by those of the platform's list.
 func (r *Relay) UpdateEndpoints(list []route.Endpoint, now time.Time) {
 	r.routes.Update(list, now)
-	r.lanes.Range(func(s ident.Service, l *lane) bool {
+	r.services.Range(func(s ident.Service, l *serviceState) bool {
 		l.refresh(r.routes, s)
 		return true
 	})
--- a/internal/relay/lane.go
+++ b/internal/relay/service.go
@@ -14,8 +14,8 @@
 )
 
 type (
-	// lane is what the relay keeps for one service.
-	lane struct {
+	// serviceState is what the relay keeps for one service.
+	serviceState struct {
 		queue    *limit.Queue
 		budget   *limit.Budget
 		attempts *metrics.Counter
@@ -35,8 +35,8 @@
 // bound.
 const defaultQueueLimit = 256
 
-func (r *Relay) lane(c *config.Config, s config.Service, bound int) *lane {
-	l, known := r.lanes.LoadOrStore(s.Name, func() *lane { return r.newLane(s.Name) })
+func (r *Relay) stateOf(c *config.Config, s config.Service, bound int) *serviceState {
+	l, known := r.services.LoadOrStore(s.Name, func() *serviceState { return r.newServiceState(s.Name) })
 	l.queue.SetBound(bound)
 	l.budget.SetShare(c.Limits.RetryShare)
 	if !known {
@@ -45,8 +45,8 @@
 	return l
 }
 
-func (r *Relay) newLane(s ident.Service) *lane {
-	l := &lane{
+func (r *Relay) newServiceState(s ident.Service) *serviceState {
+	l := &serviceState{
 		queue:    limit.NewQueue(limit.QueueSettings{Weight: r.weight}),
 		budget:   limit.NewBudget(0),
 		attempts: r.metrics.GetOrCreateCounter(metricName("attempts", s, "")),
@@ -68,14 +68,14 @@
 }
 
 // refresh gives the queue the present capacity of the service's endpoints.
-func (l *lane) refresh(t *route.Table, s ident.Service) {
+func (l *serviceState) refresh(t *route.Table, s ident.Service) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.queue.SetCapacity(t.Capacity(s, time.Now()))
 }
 
 // enterClaim reports whether another request may wait for the store.
-func (l *lane) enterClaim(bound int) bool {
+func (l *serviceState) enterClaim(bound int) bool {
 	if l.claiming.Add(1) > int64(bound) {
 		l.claiming.Add(-1)
 		return false
@@ -83,7 +83,7 @@
 	return true
 }
 
-func (l *lane) leaveClaim() { l.claiming.Add(-1) }
+func (l *serviceState) leaveClaim() { l.claiming.Add(-1) }
 
 func metricName(what string, s ident.Service, outcome string) string {
 	if outcome == "" {
