--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -92,7 +92,9 @@
 		}
 	}
 	time.AfterFunc(step, sample)
-	return func() string { return "| from | requests | attempts | attempts per request |\n" + strings.Join(rows, "\n") }
+	return func() string {
+		return "| from | requests | attempts | attempts per request |\n" + strings.Join(rows, "\n")
+	}
 }
 
 // TestStoreOutage guards against a storm of attempts when the store returns
