Guard the curve of attempts against concurrent samples

Cause: the race detector found the samples of the curve, taken by timers, read without a lock at the end of the test. Ruled out: a wait for the last timer; the curve may end before it. Change: a mutex.

--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -78,12 +78,15 @@
 
 // curve records the attempts and the requests that ran, in steps of time.
 func (w *world) curve(step time.Duration, steps int) func() string {
+	var mu sync.Mutex
 	var rows []string
 	var sends, runs int
 	n := 0
 	var sample func()
 	sample = func() {
 		s, r := w.counts()
+		mu.Lock()
+		defer mu.Unlock()
 		rows = append(rows, fmt.Sprintf("| %v | %d | %d | %.2f |",
 			time.Duration(n)*step, r-runs, s-sends, float64(s-sends)/float64(max(r-runs, 1))))
 		sends, runs = s, r
@@ -93,6 +96,8 @@
 	}
 	time.AfterFunc(step, sample)
 	return func() string {
+		mu.Lock()
+		defer mu.Unlock()
 		return "| from | requests | attempts | attempts per request |\n" + strings.Join(rows, "\n")
 	}
 }
