Bound the guarantee checks of large shards only, and let jobs wait beyond it

Ruled out: the check of all gangs together; with the bound off there is no breach. A higher bound, which only moves the case. Change: shards of up to 64 workers have no bound over a decision, and beyond a used-up bound a guaranteed job waits.

--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -61,6 +61,9 @@
 // check says no.
 func (b *Book) Limit(steps int) { b.steps = steps }
 
+// IsSpent reports whether the bound of Limit is used up.
+func (b *Book) IsSpent() bool { return b.steps <= 0 }
+
 // Match returns the smallest unused claim of the workspace that covers s.
 func (b *Book) Match(ws ident.Workspace, s shape.Shape) (int, bool) {
 	best := -1
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -13,9 +13,12 @@
 const (
 	// maxPlaces bounds the places that are compared for one job.
 	maxPlaces = 24
-	// checkSteps bounds the work of the guarantee checks of one decision. At
-	// today's size a decision stays far below it. Beyond it the jobs that need
-	// a check wait for the next decision.
+	// exactWorkers is the size of a shard up to which only each guarantee check
+	// is bounded, and not all of a decision together. Today's shards have 17
+	// workers.
+	exactWorkers = 64
+	// checkSteps bounds the guarantee checks of one decision of a larger shard.
+	// Beyond it the jobs that need a check wait for the next decision.
 	checkSteps = 4 * shape.PackSteps
 	// searches bounds the jobs outside guarantees, other than urgent ones, for
 	// which one decision looks for victims. The queue can be long, and each
@@ -56,6 +59,12 @@
 		if i, ok := p.book.Match(j.Workspace, j.Spec.Shape); ok && p.claim(j, i) {
 			return
 		}
+		if p.book.IsSpent() {
+			// Without a check the job must not start on lent capacity either:
+			// it would count as inside its guarantee from the next decision on.
+			p.wait(j, "the guarantee checks of this decision reached their bound")
+			return
+		}
 	}
 	p.lend(j)
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -74,7 +74,9 @@
 	p.classify()
 	// The bound begins here: if it could end the classification, a gang inside
 	// a guarantee would count as lent.
-	p.book.Limit(checkSteps)
+	if len(v.Workers) > exactWorkers {
+		p.book.Limit(checkSteps)
+	}
 	return p
 }
 
