Wait for the last report before the test of the counter reads the log

Ruled out: a fault of the counter; the log of the test is not locked. Change: synctest.Wait orders them.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -68,6 +68,8 @@
 		time.Sleep(reportEvery + time.Second)
 		exchange(t, c, Request, "[::ffff:10.1.0.1]:80", 5, 6)
 		time.Sleep(reportEvery)
+		// The last report is written by the counter's thread.
+		synctest.Wait()
 		c.WriteMetrics(&out)
 		cancel()
 		synctest.Wait()
