Take nobody for an operator while no configuration is in force

Cause: an instance without a configuration in force took every caller for an operator, so that the first configuration can be applied. An instance that has just started in a running site is in the same state for a moment: a caller without a key could then change the configuration over the version in force, or read the jobs of all workspaces from the store. Ruled out: refusing all operators' calls until the instance is ready; a new site would then never get its first configuration. Change: without a configuration in force only GET config and PUT config with base 0 need no key; the store refuses base 0 if there is a configuration.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -29,30 +29,44 @@
 var ErrNoDomain = errors.New("no such failure domain")
 
 func (f *front) addAdmin(r *mux.Router) {
-	r.HandleFunc("/config", f.operator(f.showConfig)).Methods(http.MethodGet)
-	r.HandleFunc("/config", f.operator(f.applyConfig)).Methods(http.MethodPut)
+	r.HandleFunc("/config", f.operatorOrFirst(f.showConfig)).Methods(http.MethodGet)
+	r.HandleFunc("/config", f.operatorOrFirst(f.applyConfig)).Methods(http.MethodPut)
 	r.HandleFunc("/domains/{name}", f.operator(f.setDomain)).Methods(http.MethodPut)
 	r.HandleFunc("/status", f.operator(f.status)).Methods(http.MethodGet)
 	r.HandleFunc("/jobs/{workspace}", f.operator(f.listAll)).Methods(http.MethodGet)
 	r.HandleFunc("/explain/{workspace}/{id}", f.operator(f.explain)).Methods(http.MethodGet)
 }
 
-// operator identifies an operator by its key. While no configuration has been
-// accepted there is no operator yet, and whoever reaches the instance may
-// apply the first one.
+// operator identifies an operator by its key.
 func (f *front) operator(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c := f.deps.Config()
-		if _, ok := c.OperatorOfKey(bearer(r)); !ok && c.Version > 0 {
-			writeError(w, http.StatusUnauthorized, wire.Error{
-				Outcome: wire.NotRun, Reason: reasonKey, Detail: "the key belongs to no operator",
-			})
+		if _, ok := f.deps.Config().OperatorOfKey(bearer(r)); !ok {
+			refuseOperator(w, "the key belongs to no operator")
 			return
 		}
 		h(w, r)
 	}
 }
 
+// operatorOrFirst lets whoever reaches an instance without a configuration in
+// force look at it and apply the first one. The site may have a configuration
+// that this instance does not know yet, so applyConfig takes no other base
+// than 0 then, and the store refuses that if there is a configuration.
+func (f *front) operatorOrFirst(h http.HandlerFunc) http.HandlerFunc {
+	asOperator := f.operator(h)
+	return func(w http.ResponseWriter, r *http.Request) {
+		if f.deps.Config().Version == 0 {
+			h(w, r)
+			return
+		}
+		asOperator(w, r)
+	}
+}
+
+func refuseOperator(w http.ResponseWriter, detail string) {
+	writeError(w, http.StatusUnauthorized, wire.Error{Outcome: wire.NotRun, Reason: reasonKey, Detail: detail})
+}
+
 func (f *front) showConfig(w http.ResponseWriter, _ *http.Request) {
 	c := f.deps.Config()
 	writeJSON(w, http.StatusOK, wire.Config{Version: c.Version, Text: f.deps.Admin.Render(c)})
@@ -63,6 +77,12 @@
 	if !readJSON(w, r, maxConfig, &change) {
 		return
 	}
+	// Without an operator's key only base 0 is taken, also if a configuration
+	// has come in force since the call was let through.
+	if _, ok := f.deps.Config().OperatorOfKey(bearer(r)); !ok && change.Base != 0 {
+		refuseOperator(w, "no configuration is in force at this instance yet; only the first one, with base 0, needs no key")
+		return
+	}
 	next, err := f.deps.Admin.Parse(change.Text)
 	if err != nil {
 		f.logRefused(r, reasonConfig, err)
