--- a/cmd/baobabquayd/main.go
+++ b/cmd/baobabquayd/main.go
@@ -5,6 +5,12 @@
 // Usage:
 //
 //	baobabquayd --settings instance.ini
+//	baobabquayd --platform [--settings instance.ini]
+//
+// With --platform the instance runs on the users' platform and schedules jobs
+// of several steps on its workers; without it, the instance uses the protocol
+// of the stand-ins. The settings file of --platform is by default the one that
+// the variable BAOBABQUAY_CONFIG names.
 //
 // SIGTERM and SIGINT begin a planned stop. A second signal ends the process at
 // once. The exit code is 0 after a planned stop that cut nothing off, 1 after
@@ -20,8 +26,11 @@
 	"syscall"
 
 	"github.com/baobabquay/baobabquay/internal/daemon"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/node"
 	"github.com/go-logr/logr"
 	"github.com/integrii/flaggy"
+	"go.uber.org/fx"
 )
 
 const (
@@ -30,23 +39,53 @@
 	exitUsage
 )
 
+// settingsVariable names the settings file on the platform.
+const settingsVariable = "BAOBABQUAY_CONFIG"
+
 func main() { os.Exit(run()) }
 
 func run() int {
 	var path string
+	var onPlatform bool
 	p := flaggy.NewParser("baobabquayd")
 	p.Description = "entry daemon of baobabquay"
 	p.String(&path, "s", "settings", "settings file of this instance (INI)")
-	if err := p.Parse(); err != nil || path == "" {
+	p.Bool(&onPlatform, "p", "platform", "run on the platform")
+	if err := p.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, "baobabquayd:", err)
+		return exitUsage
+	}
+	if path == "" && onPlatform {
+		path = os.Getenv(settingsVariable)
+	}
+	if path == "" {
 		fmt.Fprintln(os.Stderr, "baobabquayd: --settings FILE is required")
 		return exitUsage
 	}
+	if onPlatform {
+		return runOnPlatform(path)
+	}
 	settings, err := daemon.ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "baobabquayd:", err)
 		return exitUsage
 	}
-	if err := serve(settings); err != nil {
+	return exitCode(serve(daemon.New(settings, logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil)))))
+}
+
+func runOnPlatform(path string) int {
+	settings, err := node.ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "baobabquayd:", err)
+		return exitUsage
+	}
+	sink := event.NewSink(os.Stdout)
+	defer sink.Close()
+	return exitCode(serve(node.New(settings, sink.Logger())))
+}
+
+func exitCode(err error) int {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "baobabquayd:", err)
 		return exitFailed
 	}
@@ -55,10 +94,9 @@
 
 // serve runs the instance until the first signal and stops it. The second
 // signal ends the process.
-func serve(s daemon.Settings) error {
+func serve(app *fx.App) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	app := daemon.New(s, logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil)))
 	if err := app.Start(context.Background()); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,421 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/pkg/errors"
+)
+
+type (
+	// EventKind tells what an event reports.
+	EventKind int
+
+	// Event is what an agent tells the scheduler.
+	Event struct {
+		Kind  EventKind
+		Agent *Agent
+		// Report is set for Reported, with the instant at which it was asked for.
+		Report Report
+		Asked  time.Time
+		// Order and Reason are set for Started, Refused, Dropped and Unsettled.
+		Order  Order
+		Reason string
+		At     time.Time
+	}
+
+	// Limits are the figures of an installation.
+	Limits struct {
+		// Lease is the time for which runs are leased.
+		Lease time.Duration
+		// Bound is the most that a lease may outlast the leader's renewal.
+		Bound time.Duration
+	}
+
+	// Deps is what an agent needs.
+	Deps struct {
+		Calls  Calls
+		Target Target
+		Limits Limits
+		// Epoch is the leader's epoch.
+		Epoch int64
+		// Renewed returns the instant of the leader's last renewal.
+		Renewed func() time.Time
+		// Emit passes an event on. It may block until the scheduler takes it.
+		Emit func(Event)
+		Log  event.Log
+	}
+
+	// Agent is safe for concurrent use.
+	Agent struct {
+		Deps
+
+		mu sync.Mutex
+		// clock is the worker's clock at the instant read.
+		clock Clock
+		read  time.Time
+		born  time.Time
+		lives int64
+		until Clock
+		begun time.Time
+		seen  int64
+		// sent is the acknowledgement that the worker has taken.
+		sent    int64
+		listed  int64
+		expects int
+		silent  int
+		wake    chan struct{}
+		orders  sync.WaitGroup
+	}
+)
+
+// The kinds of events.
+const (
+	// Reported carries a report.
+	Reported EventKind = iota
+	// Started means that a worker has taken a start.
+	Started
+	// Refused means that a worker has refused a start and will not run it.
+	Refused
+	// Dropped means that a start was given up and stopped: the next report
+	// asked for after it tells whether the run has ended or never began.
+	Dropped
+	// Reborn means that the worker has lost all its runs.
+	Reborn
+	// Silent means that the worker does not answer.
+	Silent
+	// Gone means that all leases of a silent worker have ended.
+	Gone
+)
+
+const (
+	// longestWait is the longest that a worker holds an answer.
+	longestWait = 2 * time.Second
+	// holdSlack is what the answer to a call may take beyond its wait.
+	holdSlack = 700 * time.Millisecond
+	// orderLimit bounds one try of an order: two round trips between regions
+	// and a busy worker.
+	orderLimit = 350 * time.Millisecond
+	// startTries is the number of tries before a start is given up.
+	startTries = 4
+	// orderPause is the pause between tries.
+	orderPause = 40 * time.Millisecond
+	// silentAfter is the number of failed calls in a row after which a worker
+	// counts as silent.
+	silentAfter = 2
+	// silentPause is the pause between calls of a silent worker.
+	silentPause = 400 * time.Millisecond
+	// lingerAck is how long an idle worker's last ends wait for the next order
+	// before a call of their own acknowledges them.
+	lingerAck = 300 * time.Millisecond
+	// slowClock is the least speed of a worker's clock: it may be 2% slow.
+	slowClock = 0.98
+	// clockSlack covers what a worker needs to end the runs of a lease.
+	clockSlack = 250 * time.Millisecond
+	// livesPerEpoch bounds the lives of a worker that one epoch can tell apart.
+	livesPerEpoch = 1000
+)
+
+// New returns an agent that has not called its worker yet.
+func New(d Deps) *Agent {
+	return &Agent{Deps: d, wake: make(chan struct{}, 1), begun: time.Now()}
+}
+
+// Fence returns the present fencing token. It rises with the epoch and, within
+// an epoch, with each life of the worker, so that orders to an earlier life
+// are refused.
+func (a *Agent) Fence() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fence()
+}
+
+func (a *Agent) fence() int64 { return a.Epoch*livesPerEpoch + a.lives }
+
+// Lives returns how often the worker was reborn since the term began.
+func (a *Agent) Lives() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lives
+}
+
+// Born returns the start of the worker's present life, zero before the first
+// report.
+func (a *Agent) Born() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.born
+}
+
+// Expect tells how many runs the scheduler expects at the worker. The loop
+// calls the worker while there are any.
+func (a *Agent) Expect(n int) {
+	a.mu.Lock()
+	changed := (n > 0) != (a.expects > 0)
+	a.expects = n
+	a.mu.Unlock()
+	if changed {
+		a.poke()
+	}
+}
+
+// Acknowledge allows the worker to forget its ends up to the number.
+func (a *Agent) Acknowledge(life time.Time, number int64) {
+	a.mu.Lock()
+	if a.born.Equal(life) {
+		a.seen = max(a.seen, number)
+	}
+	a.mu.Unlock()
+	a.poke()
+}
+
+func (a *Agent) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run calls the worker until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	defer a.orders.Wait()
+	first := true
+	for ctx.Err() == nil {
+		wait, call := a.next(first)
+		if !call {
+			a.rest(ctx)
+			continue
+		}
+		a.hold(ctx, wait, first)
+		a.mu.Lock()
+		first = first && a.read.IsZero()
+		a.mu.Unlock()
+	}
+}
+
+// next returns how long the next call waits for an end, and whether there is
+// anything to call for.
+func (a *Agent) next(first bool) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case first, a.silent > 0:
+		return 0, true
+	case a.expects > 0:
+		return min(longestWait, a.Limits.Lease/3), true
+	}
+	// Ends that are stored and not acknowledged yet.
+	return 0, a.seen > a.sent
+}
+
+// rest waits until there is something to do.
+func (a *Agent) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-a.wake:
+	}
+}
+
+func (a *Agent) hold(ctx context.Context, wait time.Duration, first bool) {
+	asked := time.Now()
+	a.mu.Lock()
+	h := Holding{Fence: a.fence(), Seen: a.seen, Wait: wait}
+	if !first && !a.read.IsZero() {
+		h.Until = a.grant(asked)
+	}
+	a.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, wait+holdSlack)
+	report, err := a.Calls.Hold(callCtx, a.Target, h)
+	cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		a.fail(ctx, err)
+		return
+	}
+	a.mu.Lock()
+	a.sent = max(a.sent, h.Seen)
+	a.mu.Unlock()
+	a.take(report, asked)
+	a.pace(ctx, h, report)
+}
+
+// pace waits a moment before the next call where an answer came at once with
+// ends that are not stored yet: the worker would return them again.
+func (a *Agent) pace(ctx context.Context, h Holding, r Report) {
+	if len(r.Ended) == 0 {
+		return
+	}
+	last := r.Ended[len(r.Ended)-1].Number
+	deadline := time.NewTimer(lingerAck)
+	defer deadline.Stop()
+	for {
+		a.mu.Lock()
+		stored := a.seen >= last
+		a.mu.Unlock()
+		if stored && h.Seen < last {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-deadline.C:
+			return
+		case <-a.wake:
+		}
+	}
+}
+
+// grant returns the end of a lease granted now. The lock is held.
+func (a *Agent) grant(now time.Time) Clock {
+	bound := a.Renewed().Add(a.Limits.Bound)
+	end := now.Add(a.Limits.Lease)
+	if bound.Before(end) {
+		end = bound
+	}
+	until := a.clock + end.Sub(a.read)
+	a.until = max(a.until, until)
+	return until
+}
+
+// take notes a report and passes it on.
+func (a *Agent) take(r Report, asked time.Time) {
+	a.mu.Lock()
+	reborn := !a.born.IsZero() && !r.Born.Equal(a.born)
+	if reborn {
+		a.lives++
+		a.seen, a.sent, a.until, a.listed = 0, 0, 0, 0
+	}
+	a.born, a.silent = r.Born, 0
+	a.note(r.Clock, reborn)
+	for _, e := range r.Ended {
+		a.listed = max(a.listed, e.Number)
+	}
+	a.mu.Unlock()
+	if reborn {
+		a.Emit(Event{Kind: Reborn, Agent: a, At: time.Now()})
+	}
+	a.Emit(Event{Kind: Reported, Agent: a, Report: r, Asked: asked, At: time.Now()})
+}
+
+// note keeps the worker's clock. Answers may overtake each other, so an
+// earlier reading is ignored. The lock is held.
+func (a *Agent) note(c Clock, reborn bool) {
+	if reborn || a.read.IsZero() || c > a.clock {
+		a.clock, a.read = c, time.Now()
+	}
+}
+
+// fail counts a failed call and tells when the worker is silent or gone.
+func (a *Agent) fail(ctx context.Context, err error) {
+	a.mu.Lock()
+	a.silent++
+	silent, over := a.silent, a.over()
+	a.mu.Unlock()
+	if errors.Is(err, ErrOtherLife) || over {
+		a.Emit(Event{Kind: Gone, Agent: a, Reason: err.Error(), At: time.Now()})
+	} else if silent >= silentAfter {
+		a.Emit(Event{Kind: Silent, Agent: a, Reason: err.Error(), At: time.Now()})
+	}
+	pause(ctx, min(time.Duration(silent)*orderPause, silentPause))
+}
+
+// over reports whether all leases at the worker have certainly ended. The lock
+// is held. A worker that was never reached may hold leases of a former leader,
+// which end Bound after its last renewal and so after the start of this term.
+func (a *Agent) over() bool {
+	if a.read.IsZero() {
+		longest := time.Duration(float64(a.Limits.Bound)/slowClock) + clockSlack
+		return time.Since(a.begun) > longest
+	}
+	passed := time.Duration(float64(time.Since(a.read)) * slowClock)
+	return a.clock+passed > a.until+clockSlack
+}
+
+// Start sends a start in a goroutine of its own, and an event tells its result.
+func (a *Agent) Start(ctx context.Context, o Order) {
+	a.orders.Go(func() { a.start(ctx, o) })
+}
+
+func (a *Agent) start(ctx context.Context, o Order) {
+	possible := false
+	var last error
+	for range startTries {
+		answer, err := a.sendStart(ctx, o)
+		switch {
+		case err == nil && answer.Refused == "":
+			a.Emit(Event{Kind: Started, Agent: a, Order: o, At: time.Now()})
+			return
+		case err == nil && answer.Refused == RefusedOld && possible:
+			// An earlier try was carried out and has ended already.
+			a.Emit(Event{Kind: Dropped, Agent: a, Order: o, Reason: answer.Refused, At: time.Now()})
+			return
+		case err == nil:
+			a.Emit(Event{Kind: Refused, Agent: a, Order: o, Reason: answer.Refused, At: time.Now()})
+			return
+		case errors.Is(err, ErrNotTaken) && !possible, errors.Is(err, ErrOtherLife):
+			a.Emit(Event{Kind: Refused, Agent: a, Order: o, Reason: err.Error(), At: time.Now()})
+			return
+		}
+		possible, last = true, err
+		if !pause(ctx, orderPause) {
+			return
+		}
+	}
+	a.Log.Write(event.OrderUnsettled, "order", "start", "task", o.Task.String(), "run", o.Run,
+		"worker", string(a.Target.ID), "reason", last.Error())
+	a.Stop(ctx, o)
+}
+
+func (a *Agent) sendStart(ctx context.Context, o Order) (Answer, error) {
+	a.mu.Lock()
+	until, fence := a.grant(time.Now()), a.fence()
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	answer, err := a.Calls.Start(ctx, a.Target, o, until, fence)
+	if err == nil {
+		a.mu.Lock()
+		a.note(answer.Clock, false)
+		a.mu.Unlock()
+	}
+	return answer, err
+}
+
+// Stop stops a run in a goroutine of its own. It tries until the worker
+// answers or ctx ends; the run's end comes with a report.
+func (a *Agent) Stop(ctx context.Context, o Order) {
+	a.orders.Go(func() { a.stop(ctx, o) })
+}
+
+func (a *Agent) stop(ctx context.Context, o Order) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, orderLimit)
+		_, err := a.Calls.Stop(callCtx, a.Target, o, a.Fence())
+		cancel()
+		if err == nil || errors.Is(err, ErrOtherLife) {
+			a.Emit(Event{Kind: Dropped, Agent: a, Order: o, At: time.Now()})
+			a.poke()
+			return
+		}
+		a.mu.Lock()
+		over := a.silent > 0 && a.over()
+		a.mu.Unlock()
+		if over || !pause(ctx, 2*orderPause) {
+			return
+		}
+	}
+}
+
+// pause waits for d and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/agent/doc.go
@@ -0,0 +1,29 @@
+// Package agent gives orders to one worker and reads what runs there.
+//
+// An Agent keeps the worker's clock, the end of the leases it has granted and
+// the number up to which ends were acknowledged. Its loop holds one call open
+// while anything runs: the call renews the leases and returns when a run ends.
+// A worker on which nothing runs is not called.
+//
+// # Leases
+//
+// The end of a lease is an instant of the worker's clock. The agent grants at
+// most the setting's time from now, and never more than Bound after the
+// leader's last renewal of its own lease. So a successor that cannot reach the
+// worker knows when everything there has ended, whatever a former leader does.
+// A worker's clock may run slow, and the agent's own clock stands still while
+// its instance is suspended; both make the agent wait longer, never shorter.
+//
+// # Orders without an answer
+//
+// A start is sent again with the same run number, which a worker carries out
+// once. If there is still no answer, the run is stopped: a worker refuses a
+// run that was stopped before it arrived. Until one of the orders is answered
+// or the leases have ended, the run counts as possible.
+//
+// # Usage
+//
+//	a := agent.New(agent.Deps{Calls: calls, Target: target, Fence: fence, Emit: emit, Log: log})
+//	go a.Run(ctx)
+//	a.Start(agent.Order{Task: id, Run: 3, Spec: spec})
+package agent
--- /dev/null
+++ b/internal/elect/elect.go
@@ -0,0 +1,337 @@
+package elect
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/ledger"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
+)
+
+type (
+	// Self is how an instance is known to the others.
+	Self struct {
+		Name string
+		// Peer is the address for the other instances.
+		Peer netip.AddrPort
+	}
+
+	// Term is the time of one leader.
+	Term struct {
+		Epoch  int64
+		Writer *ledger.Writer
+		// Renewed returns the instant before the last renewal that the store
+		// has taken.
+		Renewed func() time.Time
+	}
+
+	// Deps is what an elector needs.
+	Deps struct {
+		Table store.Table
+		Feed  store.Feed
+		Self  Self
+		// Lead gives orders until ctx ends. It is called once a term.
+		Lead func(ctx context.Context, t Term) error
+		Log  event.Log
+	}
+
+	// Elector takes part in the choice of the leader. It is safe for
+	// concurrent use.
+	Elector struct {
+		Deps
+
+		mu      sync.Mutex
+		row     store.Row
+		lease   ledger.Lease
+		changed time.Time
+		near    time.Duration
+		renewed time.Time
+		retired bool
+		wake    chan struct{}
+	}
+)
+
+const (
+	// renewal is the period of the leader's renewals, and staleness the time
+	// without one after which a leader is replaced: three renewals, so that
+	// one lost answer does not end a term.
+	renewal   = 400 * time.Millisecond
+	staleness = 1200 * time.Millisecond
+	// patience is how long one call waits for a change of the lease.
+	patience = 600 * time.Millisecond
+	// farWait is what an instance waits beyond staleness for each round trip
+	// to the store, at most maxFarWait.
+	farWait    = 15
+	maxFarWait = 800 * time.Millisecond
+	// jitterParts spreads the instances over one round trip of the store by
+	// their names, so that they do not all write at once.
+	jitterParts = 8
+	jitter      = 15 * time.Millisecond
+	// callLimit bounds one call; the store answers in 4 ms, and a slow one in
+	// a few hundred.
+	callLimit = 700 * time.Millisecond
+)
+
+// New returns an elector that has not begun.
+func New(d Deps) *Elector {
+	return &Elector{Deps: d, wake: make(chan struct{}, 1)}
+}
+
+// Leader returns the lease as last seen.
+func (e *Elector) Leader() ledger.Lease {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease
+}
+
+// Leads reports whether this instance believes that it leads.
+func (e *Elector) Leads() bool {
+	l := e.Leader()
+	return l.Holder == e.Self.Name && !l.Released
+}
+
+// Retire makes the instance stand for no further term.
+func (e *Elector) Retire() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retired = true
+}
+
+// Run takes part until ctx ends. A leader's term ends before Run returns, and
+// its lease is released.
+func (e *Elector) Run(ctx context.Context) {
+	f := store.Follower{
+		Feed: e.Feed, Table: ledger.LeadTable, Patience: patience,
+		Apply: e.apply, Trouble: e.observe,
+	}
+	watching, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(watching) })
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-e.wake:
+			e.stand(ctx)
+		}
+	}
+	stop()
+	wg.Wait()
+}
+
+// apply notes the lease that the store returned.
+func (e *Elector) apply(c store.Changes, _ bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, ch := range c.Rows {
+		var l ledger.Lease
+		if ch.Row.Key != ledger.LeaseKey || ch.Deleted || ch.Row.Version <= e.row.Version {
+			continue
+		}
+		if err := ledger.Decode(ch.Row, &l); err != nil {
+			e.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
+			continue
+		}
+		if l.Epoch != e.lease.Epoch {
+			e.Log.Write(event.LeaderSeen, "leader", l.Holder, "epoch", l.Epoch)
+		}
+		e.row, e.lease, e.changed = ch.Row, l, time.Now()
+	}
+}
+
+// observe notes whether the store answered, and wakes the candidate if the
+// lease can be taken.
+func (e *Elector) observe(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		// While the store is away the leader cannot renew either.
+		e.changed = time.Time{}
+		return
+	}
+	if e.changed.IsZero() {
+		e.changed = time.Now()
+	}
+	if e.takeable() {
+		select {
+		case e.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// takeable reports whether the lease may be taken now. The lock is held.
+func (e *Elector) takeable() bool {
+	if e.retired {
+		return false
+	}
+	wait := e.delay()
+	if e.row.Version != 0 && !e.lease.Released {
+		wait += staleness
+	}
+	return !e.changed.IsZero() && time.Since(e.changed) >= wait
+}
+
+func (e *Elector) delay() time.Duration {
+	h := 0
+	for _, c := range e.Self.Name {
+		h = (h*31 + int(c)) % jitterParts
+	}
+	return min(e.near*farWait, maxFarWait) + time.Duration(h)*jitter
+}
+
+// stand takes the lease if it still can be taken, and leads until the term is
+// over.
+func (e *Elector) stand(ctx context.Context) {
+	term, err := e.take(ctx)
+	if err != nil {
+		e.Log.Write(event.LeaseMissed, "reason", err.Error())
+		return
+	}
+	e.Log.Write(event.TermBegun, "epoch", term.Epoch)
+	termCtx, end := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { e.renew(termCtx, term.Epoch, end) })
+	err = e.Lead(termCtx, term)
+	end()
+	wg.Wait()
+	e.Log.Write(event.TermEnded, "epoch", term.Epoch, "reason", reason(err))
+	if ctx.Err() != nil {
+		e.release(term.Epoch)
+	}
+}
+
+func reason(err error) string {
+	if err == nil {
+		return "planned"
+	}
+	return err.Error()
+}
+
+// take writes the next epoch. The transaction fails if the lease has changed.
+func (e *Elector) take(ctx context.Context) (Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	e.mu.Lock()
+	row, epoch := e.row, e.lease.Epoch+1
+	e.mu.Unlock()
+	begun := time.Now()
+	lease := ledger.Lease{Holder: e.Self.Name, Peer: e.Self.Peer, Epoch: epoch}
+	value, err := ledger.Encode(lease)
+	if err != nil {
+		return Term{}, fmt.Errorf("take lease: %w", err)
+	}
+	version, err := e.Table.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: ledger.LeaseKey, Version: row.Version}},
+		Puts: []store.Put{
+			{Key: ledger.LeaseKey, Value: value},
+			{Key: ledger.SequenceKey, Value: ledger.SequenceValue(epoch, 0)},
+		},
+	})
+	if err != nil {
+		// A write whose answer was lost begins no term. It goes stale like the
+		// lease of any other leader.
+		return Term{}, fmt.Errorf("take lease at epoch %d: %w", epoch, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.row = store.Row{Key: ledger.LeaseKey, Value: value, Version: version}
+	e.lease, e.changed, e.renewed = lease, time.Now(), begun
+	return Term{Epoch: epoch, Writer: ledger.NewWriter(e.Table, epoch, version), Renewed: e.lastRenewal}, nil
+}
+
+func (e *Elector) lastRenewal() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.renewed
+}
+
+// SetDistance tells the time of a round trip to the store.
+func (e *Elector) SetDistance(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.near = d
+}
+
+// renew rewrites the lease until ctx ends or another leader has taken it.
+func (e *Elector) renew(ctx context.Context, epoch int64, end func()) {
+	t := time.NewTicker(renewal)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		err := e.rewrite(ctx, epoch, false)
+		if errors.Is(err, ledger.ErrDeposed) {
+			e.Log.Write(event.LeaseLost, "epoch", epoch, "reason", err.Error())
+			end()
+			return
+		}
+		if err != nil && ctx.Err() == nil {
+			e.Log.Write(event.RenewalFailed, "epoch", epoch, "age", time.Since(e.lastRenewal()).String(), "reason", err.Error())
+		}
+	}
+}
+
+// rewrite renews or releases the lease of the term.
+func (e *Elector) rewrite(ctx context.Context, epoch int64, released bool) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	e.mu.Lock()
+	row, lease := e.row, e.lease
+	e.mu.Unlock()
+	if lease.Epoch != epoch {
+		return fmt.Errorf("renew lease of epoch %d: %w", epoch, ledger.ErrDeposed)
+	}
+	lease.Renewal++
+	lease.Released = released
+	value, err := ledger.Encode(lease)
+	if err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	begun := time.Now()
+	version, err := e.Table.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: ledger.LeaseKey, Version: row.Version}},
+		Puts:   []store.Put{{Key: ledger.LeaseKey, Value: value}},
+	})
+	if store.IsConflict(err) {
+		return e.reread(ctx, epoch)
+	}
+	if err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if version > e.row.Version {
+		e.row = store.Row{Key: ledger.LeaseKey, Value: value, Version: version}
+		e.lease, e.changed = lease, time.Now()
+	}
+	e.renewed = begun
+	return nil
+}
+
+// reread settles a conflict, which an earlier renewal whose answer was lost
+// may have caused.
+func (e *Elector) reread(ctx context.Context, epoch int64) error {
+	row, err := e.Table.Get(ctx, ledger.LeaseKey)
+	if err != nil {
+		return fmt.Errorf("read lease: %w", err)
+	}
+	e.apply(store.Changes{Rows: []store.Change{{Row: row}}}, false)
+	if e.Leader().Epoch != epoch {
+		return fmt.Errorf("lease of epoch %d: %w", epoch, ledger.ErrDeposed)
+	}
+	return nil
+}
+
+// release gives the lease up, so that the next leader need not wait.
+func (e *Elector) release(epoch int64) {
+	err := e.rewrite(context.Background(), epoch, true)
+	e.Log.Write(event.LeaseReleased, "epoch", epoch, "outcome", reason(err))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,43 +24,71 @@
 // The events. The thousands tell the part: 1 jobs, 2 requests, 3 placement and
 // shards, 4 configuration, 5 membership and process.
 const (
-	JobAccepted   ID = 1001
-	JobRefused    ID = 1002
-	JobCancel     ID = 1003
-	JobEnded      ID = 1004
-	RequestRouted ID = 2001
-	RequestDone   ID = 2002
-	RequestNotRun ID = 2003
-	RequestLost   ID = 2004
-	RequestClaim  ID = 2005
-	JobPlaced     ID = 3001
-	JobWaits      ID = 3002
-	JobStarted    ID = 3003
-	JobAborted    ID = 3004
-	JobRequeued   ID = 3005
-	JobReclaimed  ID = 3006
-	JobMoved      ID = 3007
-	JobUnread     ID = 3008
-	WorkerLost    ID = 3010
-	WorkerBack    ID = 3011
-	WorkerBarred  ID = 3012
-	LeaseTaken    ID = 3020
-	LeaseLost     ID = 3021
-	LeaseReleased ID = 3022
-	ShardReady    ID = 3023
-	StoreDown     ID = 3030
-	StoreBack     ID = 3031
-	ConfigApplied ID = 4001
-	ConfigRefused ID = 4002
-	ConfigInForce ID = 4003
-	DomainOut     ID = 4004
-	DomainIn      ID = 4005
-	InstanceReady ID = 5001
-	InstanceStop  ID = 5002
-	InstanceEnded ID = 5003
-	PeerFound     ID = 5004
-	PeerLost      ID = 5005
-	LinkBytes     ID = 5006
+	JobAccepted    ID = 1001
+	JobRefused     ID = 1002
+	JobCancel      ID = 1003
+	JobEnded       ID = 1004
+	JobSeen        ID = 1005
+	JobOver        ID = 1006
+	RequestRouted  ID = 2001
+	RequestDone    ID = 2002
+	RequestNotRun  ID = 2003
+	RequestLost    ID = 2004
+	RequestClaim   ID = 2005
+	JobPlaced      ID = 3001
+	JobWaits       ID = 3002
+	JobStarted     ID = 3003
+	JobAborted     ID = 3004
+	JobRequeued    ID = 3005
+	JobReclaimed   ID = 3006
+	JobMoved       ID = 3007
+	JobUnread      ID = 3008
+	WorkerLost     ID = 3010
+	WorkerBack     ID = 3011
+	WorkerBarred   ID = 3012
+	LeaseTaken     ID = 3020
+	LeaseLost      ID = 3021
+	LeaseReleased  ID = 3022
+	ShardReady     ID = 3023
+	StoreDown      ID = 3030
+	StoreBack      ID = 3031
+	TermBegun      ID = 3040
+	TermEnded      ID = 3041
+	LeaderSeen     ID = 3042
+	LeaseMissed    ID = 3043
+	RenewalFailed  ID = 3044
+	RowUnread      ID = 3045
+	StateRead      ID = 3046
+	StateLoaded    ID = 3047
+	UnitPlaced     ID = 3050
+	UnitStarted    ID = 3051
+	TaskRefused    ID = 3052
+	TaskEnded      ID = 3053
+	TaskLost       ID = 3054
+	UnitStopped    ID = 3055
+	RunUnknown     ID = 3056
+	OrderUnsettled ID = 3057
+	UnitsWait      ID = 3058
+	TaskStalled    ID = 3059
+	WorkerListed   ID = 3060
+	WorkerUnlisted ID = 3061
+	WorkerDrains   ID = 3062
+	WorkerReborn   ID = 3063
+	WorkerSilent   ID = 3064
+	WorkerGone     ID = 3065
+	CommitFailed   ID = 3070
+	ConfigApplied  ID = 4001
+	ConfigRefused  ID = 4002
+	ConfigInForce  ID = 4003
+	DomainOut      ID = 4004
+	DomainIn       ID = 4005
+	InstanceReady  ID = 5001
+	InstanceStop   ID = 5002
+	InstanceEnded  ID = 5003
+	PeerFound      ID = 5004
+	PeerLost       ID = 5005
+	LinkBytes      ID = 5006
+	LinesDropped   ID = 5007
 )
 
 var catalogue = []Entry{
@@ -68,6 +96,8 @@
 	{JobRefused, "jobRefused", "A job was refused and not stored; reason says why."},
 	{JobCancel, "jobCancel", "A caller asked to cancel a job."},
 	{JobEnded, "jobEnded", "A job reached a final state."},
+	{JobSeen, "jobSeen", "The leader has taken an accepted job into its term."},
+	{JobOver, "jobOver", "The end of a job is stored."},
 	{RequestRouted, "requestRouted", "A request was sent to an endpoint; reason says why that one."},
 	{RequestDone, "requestDone", "A whole answer was returned to the caller."},
 	{RequestNotRun, "requestNotRun", "A request was refused and was not run."},
@@ -90,6 +120,31 @@
 	{ShardReady, "shardReady", "All workers of a shard that answer are fenced and read."},
 	{StoreDown, "storeDown", "The table service does not answer."},
 	{StoreBack, "storeBack", "The table service answers again."},
+	{TermBegun, "termBegun", "This instance became the leader, which gives orders to the workers."},
+	{TermEnded, "termEnded", "This instance no longer leads; reason says why."},
+	{LeaderSeen, "leaderSeen", "The lease names another leader or epoch."},
+	{LeaseMissed, "leaseMissed", "This instance tried to become the leader and did not."},
+	{RenewalFailed, "renewalFailed", "The leader could not renew its lease; age is the time since the last renewal."},
+	{RowUnread, "rowUnread", "A row cannot be decoded and is left out."},
+	{StateRead, "stateRead", "A new leader has read the jobs and the workers' runs."},
+	{StateLoaded, "stateLoaded", "A new leader has read the rows of jobs and workers."},
+	{UnitPlaced, "unitPlaced", "Workers were chosen for a task or gang; reason says where the room comes from."},
+	{UnitStarted, "unitStarted", "The starts of a task or gang were sent."},
+	{TaskRefused, "taskRefused", "A worker refused a start; reason is the worker's."},
+	{TaskEnded, "taskEnded", "A run ended; how says in which way."},
+	{TaskLost, "taskLost", "A run is gone without an end; reason says how that is known."},
+	{UnitStopped, "unitStopped", "A task or gang was told to stop; reason says why."},
+	{RunUnknown, "runUnknown", "A worker runs a task that this leader has not placed there; it is stopped."},
+	{OrderUnsettled, "orderUnsettled", "An order has no answer and may be carried out late."},
+	{UnitsWait, "unitsWait", "How many tasks and gangs wait, by reason."},
+	{TaskStalled, "taskStalled", "A task makes no progress and is moved to another worker."},
+	{WorkerListed, "workerListed", "A worker appeared in the platform's list."},
+	{WorkerUnlisted, "workerUnlisted", "A worker left the platform's list."},
+	{WorkerDrains, "workerDrains", "A worker drains and gets no new tasks."},
+	{WorkerReborn, "workerReborn", "A worker has started again; its runs are gone."},
+	{WorkerSilent, "workerSilent", "A worker does not answer and gets no new tasks."},
+	{WorkerGone, "workerGone", "The leases of a silent worker have ended; its runs are gone."},
+	{CommitFailed, "commitFailed", "A transaction of the leader was not stored yet; it is tried again."},
 	{ConfigApplied, "configApplied", "A change of the configuration was committed by this instance."},
 	{ConfigRefused, "configRefused", "A change of the configuration was refused."},
 	{ConfigInForce, "configInForce", "A configuration version is in force at this instance."},
@@ -101,6 +156,7 @@
 	{PeerFound, "peerFound", "Another instance answers."},
 	{PeerLost, "peerLost", "Another instance no longer answers."},
 	{LinkBytes, "linkBytes", "Bytes sent to and received from other regions since the last report, by kind."},
+	{LinesDropped, "linesDropped", "Log lines were dropped because the output was too slow; count says how many."},
 }
 
 // New returns a log that writes to l.
--- /dev/null
+++ b/internal/graph/job.go
@@ -0,0 +1,239 @@
+package graph
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type (
+	// ID is the identifier of a job, chosen by its caller.
+	ID string
+
+	// Demand is an amount of the resources of a worker.
+	Demand struct {
+		Millicores   int64 `json:"millicores,omitempty"`
+		MemoryMiB    int64 `json:"memoryMiB,omitempty"`
+		Accelerators int64 `json:"accelerators,omitempty"`
+	}
+
+	// Step is a number of equal tasks.
+	Step struct {
+		Count    int           `json:"count"`
+		Demand   Demand        `json:"demand"`
+		Estimate time.Duration `json:"estimate,omitempty"`
+		// After lists the steps that must be done before this one.
+		After []int `json:"after,omitempty"`
+		// Checkpoints reports whether the tasks save their progress.
+		Checkpoints bool `json:"checkpoints,omitempty"`
+		// Gang tasks work only while all of them run.
+		Gang bool `json:"gang,omitempty"`
+		// SameRack gangs are slower when they run on more than one rack.
+		SameRack bool `json:"sameRack,omitempty"`
+		// Speculative tasks may run twice at a time.
+		Speculative bool `json:"speculative,omitempty"`
+		// LongRunning tasks run until the job is cancelled.
+		LongRunning bool `json:"longRunning,omitempty"`
+		// Backfill tasks use only processor time that other tasks leave.
+		Backfill bool `json:"backfill,omitempty"`
+		// Label is what a worker must have; empty for any worker.
+		Label string `json:"label,omitempty"`
+		// DataRack is the rack that holds the data; empty for none.
+		DataRack string `json:"dataRack,omitempty"`
+		// MaxPerWorker limits the tasks of an occurrence on a worker; 0 is no limit.
+		MaxPerWorker int `json:"maxPerWorker,omitempty"`
+		// Image names what the tasks run.
+		Image string `json:"image,omitempty"`
+		// TailTarget is the bound of the tail of response times of a long-running task.
+		TailTarget time.Duration `json:"tailTarget,omitempty"`
+		// MayMiss is how many long-running tasks may be away at a time.
+		MayMiss int `json:"mayMiss,omitempty"`
+	}
+
+	// Job is a job as it was accepted.
+	Job struct {
+		ID        ID     `json:"id"`
+		Queue     string `json:"queue"`
+		Workspace string `json:"workspace"`
+		Spec      string `json:"spec"`
+		Steps     []Step `json:"steps"`
+		// Times is the number of occurrences of a timed job, 0 for a plain one.
+		Times    int           `json:"times,omitempty"`
+		First    time.Time     `json:"first,omitzero"`
+		Interval time.Duration `json:"interval,omitempty"`
+		Accepted time.Time     `json:"accepted"`
+
+		// The settings of the queue when the job was accepted.
+		Service     string        `json:"service"`
+		Priority    int           `json:"priority"`
+		MaxAttempts int           `json:"maxAttempts"`
+		Slack       float64       `json:"slack,omitempty"`
+		Objective   time.Duration `json:"objective,omitempty"`
+
+		Cancelled bool `json:"cancelled,omitempty"`
+	}
+
+	// TaskID names a task.
+	TaskID struct {
+		Job        ID
+		Occurrence int
+		Step       int
+		Index      int
+	}
+
+	// How tells how a run ended.
+	How string
+)
+
+// How a run ends.
+const (
+	Done    How = "done"
+	Failed  How = "failed"
+	Stopped How = "stopped"
+	Lapsed  How = "lapsed"
+	Broken  How = "broken"
+	Alone   How = "alone"
+	// Lost means that the worker ended without a word.
+	Lost How = "lost"
+)
+
+const (
+	// maxSpec and maxTasks bound what one job may ask for; the first is the
+	// users' figure, the second keeps a row of progress within its limit.
+	maxSpec  = 4000
+	maxTasks = 10000
+	maxSteps = 100
+)
+
+// ErrInvalid is wrapped by errors about a job that cannot be read as a graph.
+var ErrInvalid = errors.New("invalid job")
+
+// Fits reports whether d is within room.
+func (d Demand) Fits(room Demand) bool {
+	return d.Millicores <= room.Millicores && d.MemoryMiB <= room.MemoryMiB && d.Accelerators <= room.Accelerators
+}
+
+// Plus returns the sum of d and e.
+func (d Demand) Plus(e Demand) Demand {
+	return Demand{d.Millicores + e.Millicores, d.MemoryMiB + e.MemoryMiB, d.Accelerators + e.Accelerators}
+}
+
+// Minus returns the difference of d and e.
+func (d Demand) Minus(e Demand) Demand {
+	return Demand{d.Millicores - e.Millicores, d.MemoryMiB - e.MemoryMiB, d.Accelerators - e.Accelerators}
+}
+
+// Times returns d n times.
+func (d Demand) Times(n int) Demand {
+	return Demand{d.Millicores * int64(n), d.MemoryMiB * int64(n), d.Accelerators * int64(n)}
+}
+
+// Room is what a task of the step takes from a worker. Backfill tasks take no
+// processor time from others.
+func (s *Step) Room() Demand {
+	d := s.Demand
+	if s.Backfill {
+		d.Millicores = 0
+	}
+	return d
+}
+
+// Due returns the instant of occurrence k. It is the instant of acceptance for
+// a plain job.
+func (j *Job) Due(k int) time.Time {
+	if j.Times == 0 {
+		return j.Accepted
+	}
+	return j.First.Add(time.Duration(k) * j.Interval)
+}
+
+// Occurrences returns how often the graph runs.
+func (j *Job) Occurrences() int { return max(j.Times, 1) }
+
+// Chain returns the longest chain of estimated run times.
+func (j *Job) Chain() time.Duration {
+	longest := make([]time.Duration, len(j.Steps))
+	var chain time.Duration
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
+			longest[i] = max(longest[i], longest[a])
+		}
+		longest[i] += j.Steps[i].Estimate
+		chain = max(chain, longest[i])
+	}
+	return chain
+}
+
+// Deadline returns the instant until which occurrence k is in time.
+func (j *Job) Deadline(k int) time.Time {
+	slack := time.Duration(j.Slack * float64(j.Chain()))
+	return j.Due(k).Add(slack + j.Objective)
+}
+
+// Lasts reports whether a step of the job is long-running.
+func (j *Job) Lasts() bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// Check returns an error that wraps ErrInvalid if the graph cannot be run. A
+// step may depend on any other one as long as there is no cycle; the steps are
+// put in no other order.
+func (j *Job) Check() error {
+	switch {
+	case len(j.Spec) > maxSpec:
+		return fmt.Errorf("%w: spec of %d bytes, at most %d", ErrInvalid, len(j.Spec), maxSpec)
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return fmt.Errorf("%w: %d steps, from 1 to %d", ErrInvalid, len(j.Steps), maxSteps)
+	case j.Times < 0 || j.Times > 1 && j.Interval <= 0:
+		return fmt.Errorf("%w: %d times each %v", ErrInvalid, j.Times, j.Interval)
+	}
+	tasks := 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		d := s.Demand
+		if s.Count < 1 || d.Millicores < 0 || d.MemoryMiB < 0 || d.Accelerators < 0 || s.Estimate < 0 {
+			return fmt.Errorf("%w: step %d: count, demand or estimate out of range", ErrInvalid, i)
+		}
+		for _, a := range s.After {
+			// A step names earlier ones only, which also excludes a cycle.
+			if a < 0 || a >= i {
+				return fmt.Errorf("%w: step %d: after names step %d", ErrInvalid, i, a)
+			}
+		}
+		tasks += s.Count
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("%w: %d tasks, at most %d", ErrInvalid, tasks, maxTasks)
+	}
+	return nil
+}
+
+// String returns the name of the task, with the parts joined by dots.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTask is the inverse of TaskID.String.
+func ParseTask(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task %q: %w", s, ErrInvalid)
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return TaskID{}, fmt.Errorf("task %q: %w", s, ErrInvalid)
+		}
+		n[i] = v
+	}
+	return TaskID{Job: ID(parts[0]), Occurrence: n[0], Step: n[1], Index: n[2]}, nil
+}
--- /dev/null
+++ b/internal/graph/keep.go
@@ -0,0 +1,112 @@
+package graph
+
+import (
+	"math/big"
+)
+
+type (
+	// Kept is the part of a progress that must survive its holder.
+	Kept struct {
+		Occurrences []KeptOccurrence `json:"occurrences,omitempty"`
+		Begun       bool             `json:"begun,omitempty"`
+	}
+
+	// KeptOccurrence is the kept part of an occurrence.
+	KeptOccurrence struct {
+		Steps []KeptStep `json:"steps"`
+	}
+
+	// KeptStep is the kept part of a step.
+	KeptStep struct {
+		// Done is the set of tasks that are done, as a number in hexadecimal
+		// whose bit i stands for task i.
+		Done     string           `json:"done,omitempty"`
+		Failures map[int]Failures `json:"failures,omitempty"`
+		Saved    map[int]string   `json:"saved,omitempty"`
+		// Gang holds the failed runs of the gang.
+		Gang Failures `json:"gang,omitzero"`
+		// GangSaved is the checkpoint of the gang.
+		GangSaved string `json:"gangSaved,omitempty"`
+	}
+)
+
+const hexadecimal = 16
+
+// Keep returns what must be stored of p.
+func (p *Progress) Keep() Kept {
+	k := Kept{Begun: p.Begun, Occurrences: make([]KeptOccurrence, len(p.Occurrences))}
+	for i, o := range p.Occurrences {
+		k.Occurrences[i].Steps = make([]KeptStep, len(o.Steps))
+		for j := range o.Steps {
+			k.Occurrences[i].Steps[j] = o.Steps[j].keep()
+		}
+	}
+	return k
+}
+
+func (s *StepState) keep() KeptStep {
+	k := KeptStep{Gang: s.gang, GangSaved: s.saved}
+	done := new(big.Int)
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		if t.Done {
+			done.SetBit(done, i, 1)
+			continue
+		}
+		if t.Failures.Count > 0 {
+			if k.Failures == nil {
+				k.Failures = make(map[int]Failures)
+			}
+			k.Failures[i] = t.Failures
+		}
+		if t.Saved != "" && s.saved == "" {
+			if k.Saved == nil {
+				k.Saved = make(map[int]string)
+			}
+			k.Saved[i] = t.Saved
+		}
+	}
+	if done.Sign() > 0 {
+		k.Done = done.Text(hexadecimal)
+	}
+	return k
+}
+
+// Restore returns the progress of a job from what was kept of it. Parts that
+// do not match the job are left out.
+func Restore(j *Job, k Kept) *Progress {
+	p := NewProgress(j)
+	p.Begun = k.Begun
+	for n, ko := range k.Occurrences {
+		if n >= j.Occurrences() {
+			break
+		}
+		o := newOccurrence(j, n)
+		p.Occurrences = append(p.Occurrences, o)
+		for i, ks := range ko.Steps {
+			if i < len(o.Steps) {
+				o.Steps[i].restore(ks)
+				if o.Steps[i].left == 0 {
+					o.left--
+				}
+			}
+		}
+	}
+	if p.allDone() {
+		p.Ended = Completed
+	}
+	return p
+}
+
+func (s *StepState) restore(k KeptStep) {
+	s.gang, s.saved = k.Gang, k.GangSaved
+	done, ok := new(big.Int).SetString(k.Done, hexadecimal)
+	for i := range s.Tasks {
+		if ok && done.Bit(i) == 1 {
+			s.Tasks[i].Done = true
+			s.left--
+		}
+		s.Tasks[i].Failures = k.Failures[i]
+		s.Tasks[i].Saved = k.Saved[i]
+	}
+}
--- /dev/null
+++ b/internal/lead/commit.go
@@ -0,0 +1,175 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/ledger"
+	"github.com/baobabquay/baobabquay/internal/pool"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
+)
+
+type (
+	// commit is what one transaction stores, and what follows from it.
+	commit struct {
+		batch ledger.Batch
+		ended []*job
+		jobs  []*job
+		acks  []ack
+		// recorded lists workers whose rows are in the batch.
+		recorded []*worker
+		// removed lists workers whose rows can go.
+		removed []pool.WorkerID
+	}
+
+	// ack is an acknowledgement that waits for a commit.
+	ack struct {
+		worker *worker
+		life   time.Time
+		number int64
+	}
+
+	// committed tells that a commit is stored, or why it never will be.
+	committed struct {
+		commit
+		err error
+	}
+)
+
+// rowsPerEnd is the number of entries that the end of a job takes.
+const rowsPerEnd = 3
+
+// flush stores what has changed, one transaction at a time.
+func (t *term) flush(now time.Time) {
+	if t.inFlight || t.since.IsZero() || now.Sub(t.since) < gather {
+		return
+	}
+	c := t.gather(now)
+	if len(c.batch.Puts) == 0 && len(c.batch.Deletes) == 0 {
+		t.settle(c)
+		return
+	}
+	t.inFlight = true
+	t.agents.Go(func() { t.post(committed{c, t.commit(t.ctx, c.batch)}) })
+}
+
+// gather collects dirty jobs and workers, as many as fit into a transaction.
+// Acknowledgements go with the transaction that has the last of them.
+func (t *term) gather(now time.Time) commit {
+	c := commit{}
+	full := false
+	for _, j := range t.jobs {
+		if !j.dirty {
+			continue
+		}
+		if len(c.batch.Puts)+len(c.batch.Deletes)+rowsPerEnd > ledger.MaxBatch {
+			full = true
+			break
+		}
+		t.encode(&c, j, now)
+	}
+	for _, w := range t.workers {
+		if w.recorded || w.recording || full || len(c.batch.Puts)+1 > ledger.MaxBatch {
+			continue
+		}
+		t.encodeWorker(&c, w)
+	}
+	if !full {
+		c.batch.Deletes = append(c.batch.Deletes, t.forgotten()...)
+		c.acks = t.pending.acks
+		t.pending = commit{}
+		t.since = time.Time{}
+	}
+	return c
+}
+
+// forgotten returns the rows of the workers that have gone and not come back.
+func (t *term) forgotten() []string {
+	var keys []string
+	for _, id := range t.pending.removed {
+		if t.workers[id] == nil {
+			keys = append(keys, ledger.WorkerKey(string(id)))
+		}
+	}
+	return keys
+}
+
+func (t *term) encode(c *commit, j *job, now time.Time) {
+	p := j.progress
+	id := p.Job.ID
+	j.dirty = false
+	if p.Ended == "" || j.placed > 0 && p.Ended != graph.Completed {
+		value, err := ledger.Encode(p.Keep())
+		if err != nil {
+			t.Log.Write(event.CommitFailed, "job", string(id), "reason", err.Error())
+			return
+		}
+		c.batch.Puts = append(c.batch.Puts, store.Put{Key: ledger.ProgressKey(id), Value: value})
+		c.jobs = append(c.jobs, j)
+		return
+	}
+	value, err := ledger.Encode(ledger.Ended{Phase: p.Ended, Reason: p.Reason, Queue: p.Job.Queue, At: now})
+	if err != nil {
+		t.Log.Write(event.CommitFailed, "job", string(id), "reason", err.Error())
+		return
+	}
+	c.batch.Puts = append(c.batch.Puts, store.Put{Key: ledger.EndedKey(id), Value: value})
+	c.batch.Deletes = append(c.batch.Deletes, ledger.JobKey(id), ledger.ProgressKey(id))
+	c.ended = append(c.ended, j)
+}
+
+func (t *term) encodeWorker(c *commit, w *worker) {
+	value, err := ledger.Encode(ledger.Worker{
+		Address: w.info.Address, Service: w.info.Service, Domain: w.info.Domain, Rack: w.info.Rack,
+	})
+	if err != nil {
+		t.Log.Write(event.CommitFailed, "worker", string(w.info.ID), "reason", err.Error())
+		return
+	}
+	w.recording = true
+	c.batch.Puts = append(c.batch.Puts, store.Put{Key: ledger.WorkerKey(string(w.info.ID)), Value: value})
+	c.recorded = append(c.recorded, w)
+}
+
+// commit stores a batch, however long it takes.
+func (t *term) commit(ctx context.Context, b ledger.Batch) error {
+	if err := t.Writer.Commit(ctx, b); err != nil {
+		return fmt.Errorf("store %d rows: %w", len(b.Puts)+len(b.Deletes), err)
+	}
+	return nil
+}
+
+func (t *term) applyCommitted(e committed) error {
+	t.inFlight = false
+	if e.err != nil {
+		if errors.Is(e.err, ledger.ErrDeposed) || t.ctx.Err() != nil {
+			return e.err
+		}
+		t.Log.Write(event.CommitFailed, "reason", e.err.Error())
+		return e.err
+	}
+	t.settle(e.commit)
+	return nil
+}
+
+// settle does what follows from a stored commit.
+func (t *term) settle(c commit) {
+	for _, j := range c.ended {
+		p := j.progress
+		t.statuses.Store(p.Job.ID, Status{Phase: p.Ended, Queue: p.Job.Queue})
+		delete(t.jobs, p.Job.ID)
+		t.Log.Write(event.JobOver, "job", string(p.Job.ID), "phase", string(p.Ended), "reason", p.Reason,
+			"age", time.Since(p.Job.Accepted).String())
+	}
+	for _, w := range c.recorded {
+		w.recorded, w.recording = true, false
+		t.reopen(w)
+	}
+	for _, a := range c.acks {
+		a.worker.agent.Acknowledge(a.life, a.number)
+	}
+}
--- /dev/null
+++ b/internal/lead/load.go
@@ -0,0 +1,138 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/ledger"
+	"github.com/baobabquay/baobabquay/internal/pool"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
+)
+
+const (
+	// loadLimit bounds one try to read a table, and loadPause is the pause
+	// before the next one.
+	loadLimit = 2 * time.Second
+	loadPause = 100 * time.Millisecond
+	// followPatience is how long a call waits for a change of the jobs or the
+	// workers. A call that has gone silent is noticed after it.
+	followPatience = 1500 * time.Millisecond
+)
+
+// load reads what earlier terms have left.
+func (t *term) load(ctx context.Context) error {
+	progress, err := t.readAll(ctx, ledger.ProgressTable)
+	if err != nil {
+		return err
+	}
+	jobs, err := t.readAll(ctx, ledger.JobTable)
+	if err != nil {
+		return err
+	}
+	workers, err := t.readAll(ctx, ledger.WorkerTable)
+	if err != nil {
+		return err
+	}
+	t.loadJobs(jobs, t.decodeProgress(progress))
+	t.loadWorkers(workers)
+	t.settled = t.unread == 0
+	t.Log.Write(event.StateLoaded, "jobs", len(t.jobs), "workers", t.unread)
+	return nil
+}
+
+// readAll reads a table and tries again until ctx ends.
+func (t *term) readAll(ctx context.Context, table string) (store.Changes, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, loadLimit)
+		c, err := t.Feed.Read(callCtx, table)
+		cancel()
+		if err == nil {
+			return c, nil
+		}
+		t.Log.Write(event.StoreDown, "table", table, "reason", err.Error())
+		select {
+		case <-ctx.Done():
+			return store.Changes{}, fmt.Errorf("read table %s: %w", table, errors.Wrap(err, ctx.Err().Error()))
+		case <-time.After(loadPause):
+		}
+	}
+}
+
+func (t *term) decodeProgress(c store.Changes) map[graph.ID]graph.Kept {
+	kept := make(map[graph.ID]graph.Kept, len(c.Rows))
+	for _, ch := range c.Rows {
+		var k graph.Kept
+		if err := ledger.Decode(ch.Row, &k); err != nil {
+			t.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
+			continue
+		}
+		kept[graph.ID(store.Name(ch.Row.Key))] = k
+	}
+	return kept
+}
+
+func (t *term) loadJobs(c store.Changes, kept map[graph.ID]graph.Kept) {
+	for _, ch := range c.Rows {
+		var j graph.Job
+		if err := ledger.Decode(ch.Row, &j); err != nil {
+			t.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
+			continue
+		}
+		known := t.add(&j, graph.Restore(&j, kept[j.ID]))
+		known.old = true
+	}
+}
+
+func (t *term) loadWorkers(c store.Changes) {
+	for _, ch := range c.Rows {
+		var row ledger.Worker
+		if err := ledger.Decode(ch.Row, &row); err != nil {
+			t.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
+			continue
+		}
+		w := t.join(pool.Worker{
+			ID: pool.WorkerID(store.Name(ch.Row.Key)), Address: row.Address, Service: row.Service,
+			Domain: row.Domain, Rack: row.Rack,
+		})
+		w.recorded, w.inherited = true, true
+		t.unread++
+		t.enter(w)
+	}
+}
+
+// follow starts to follow the jobs and the platform's list.
+func (t *term) follow(ctx context.Context) {
+	trouble := func(table string) func(error) {
+		down := false
+		return func(err error) {
+			if (err != nil) == down || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
+				return
+			}
+			down = err != nil
+			if down {
+				t.Log.Write(event.StoreDown, "table", table, "reason", err.Error())
+				return
+			}
+			t.Log.Write(event.StoreBack, "table", table)
+		}
+	}
+	jobs := store.Follower{
+		Feed: t.Feed, Table: ledger.JobTable, Patience: followPatience, Trouble: trouble(ledger.JobTable),
+		Apply: func(c store.Changes, whole bool) { t.post(jobChanges{c, whole}) },
+	}
+	workers := store.Follower{
+		Feed: t.Feed, Table: t.WorkerList, Patience: followPatience, Trouble: trouble(t.WorkerList),
+		Apply: func(c store.Changes, whole bool) { t.post(workerChanges{c, whole}) },
+	}
+	t.agents.Go(func() { jobs.Run(ctx) })
+	t.agents.Go(func() { workers.Run(ctx) })
+}
+
+// withCancel is context.WithCancel with a plain function.
+func withCancel(ctx context.Context) (context.Context, func()) {
+	return context.WithCancel(ctx)
+}
--- /dev/null
+++ b/internal/lead/reports.go
@@ -0,0 +1,305 @@
+package lead
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/agent"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/ledger"
+	"github.com/baobabquay/baobabquay/internal/plan"
+)
+
+const (
+	// stallAfter is the time without progress after which a task counts as
+	// stalled. The reports of a worker that runs something are at most 2 s
+	// apart, and the least estimate of the users' tasks makes a percent in
+	// under 0.15 s.
+	stallAfter = 3 * time.Second
+	// fullPercent is the progress of a task that is about to end.
+	fullPercent = 100
+)
+
+// applyAgent applies what an agent tells.
+func (t *term) applyAgent(e agent.Event) error {
+	w, ok := t.workers[e.Agent.Target.ID]
+	if !ok || w.agent != e.Agent {
+		return nil
+	}
+	switch e.Kind {
+	case agent.Reported:
+		t.applyReport(w, e)
+	case agent.Started:
+		if m := t.memberOf(w, e.Order); m != nil {
+			m.confirmed = e.At
+		}
+	case agent.Refused:
+		return t.applyRefusal(w, e)
+	case agent.Dropped:
+		if m := t.memberOf(w, e.Order); m != nil {
+			m.confirmed = e.At
+		}
+	case agent.Reborn:
+		t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members))
+		t.loseAll(w, "reborn")
+	case agent.Silent:
+		if !w.silent {
+			w.silent = true
+			t.Log.Write(event.WorkerSilent, "worker", string(w.info.ID), "runs", len(w.members), "reason", e.Reason)
+			t.reopen(w)
+		}
+	case agent.Gone:
+		t.applyGone(w, e)
+	}
+	return nil
+}
+
+// memberOf returns the member that an order was for, or nil if it has ended.
+func (t *term) memberOf(w *worker, o agent.Order) *member {
+	m := w.members[o.Task]
+	if m == nil || m.place.run != o.Run {
+		return nil
+	}
+	return m
+}
+
+// applyRefusal applies a worker's refusal of a start.
+func (t *term) applyRefusal(w *worker, e agent.Event) error {
+	t.Log.Write(event.TaskRefused, "task", e.Order.Task.String(), "run", e.Order.Run, "worker", string(w.info.ID),
+		"reason", e.Reason)
+	// After a new life of the worker an order to the former one is refused too.
+	if e.Reason == agent.RefusedFence && e.Agent.Lives() == 0 {
+		return fmt.Errorf("worker %s knows a higher epoch: %w", w.info.ID, ledger.ErrDeposed)
+	}
+	m := t.memberOf(w, e.Order)
+	if m == nil {
+		return nil
+	}
+	t.avoidWorker(m.place, w)
+	if e.Reason != agent.RefusedOld && e.Reason != agent.RefusedLate {
+		t.blame(w, time.Now())
+	}
+	t.endMember(m, graph.Lost, "")
+	return nil
+}
+
+// applyGone ends the runs of a worker that is out of reach and whose leases
+// have ended.
+func (t *term) applyGone(w *worker, e agent.Event) {
+	if len(w.members) > 0 || w.inherited {
+		t.Log.Write(event.WorkerGone, "worker", string(w.info.ID), "runs", len(w.members), "reason", e.Reason)
+	}
+	t.loseAll(w, "leases ended")
+	t.settleWorker(w)
+	if !w.listed {
+		t.drop(w, "gone")
+	}
+}
+
+// applyReport compares what a worker lists with what was placed there.
+func (t *term) applyReport(w *worker, e agent.Event) {
+	if w.silent {
+		t.Log.Write(event.WorkerBack, "worker", string(w.info.ID))
+	}
+	first := !w.answered
+	w.answered, w.silent = true, false
+	running := make(map[graph.TaskID]int64, len(e.Report.Running))
+	for _, r := range e.Report.Running {
+		running[r.Task] = r.Run
+	}
+	t.applyEnds(w, e.Report)
+	if first {
+		t.adopt(w, e.Report)
+	}
+	for _, r := range e.Report.Running {
+		t.applyRunning(w, r, e.At)
+	}
+	t.findMissing(w, running, e.Asked)
+	if first {
+		t.settleWorker(w)
+	}
+	t.reopen(w)
+	if !w.listed && len(w.members) == 0 && !w.inherited && t.listedOnce {
+		t.drop(w, "unlisted")
+	}
+}
+
+func (t *term) applyEnds(w *worker, r agent.Report) {
+	last := int64(0)
+	for _, end := range r.Ended {
+		last = max(last, end.Number)
+		m := w.members[end.Task]
+		switch {
+		case m != nil && m.place.run == end.Run:
+			t.endMember(m, end.How, end.Saved)
+		default:
+			t.applyOldEnd(end)
+		}
+	}
+	if last > 0 {
+		t.pending.acks = append(t.pending.acks, ack{w, r.Born, last})
+		if t.since.IsZero() {
+			t.since = time.Now()
+		}
+	}
+}
+
+// applyOldEnd applies an end of a run that is not placed here: it is of an
+// earlier term, or its end was applied before and is listed again.
+func (t *term) applyOldEnd(end agent.End) {
+	j, ok := t.jobs[end.Task.Job]
+	if !ok {
+		return
+	}
+	j.progress.Open(time.Now())
+	j.progress.Begun = true
+	if j.progress.End(end.Task, end.Run, end.How, end.Saved) {
+		t.touch(j)
+		t.Log.Write(event.TaskEnded, "task", end.Task.String(), "run", end.Run, "how", string(end.How), "earlier", true)
+	}
+	t.finish(j)
+	t.show(j)
+}
+
+// applyRunning notes the progress of a run, or stops one that is not wanted.
+func (t *term) applyRunning(w *worker, r agent.Run, now time.Time) {
+	m := w.members[r.Task]
+	if m != nil && m.place.run == r.Run {
+		if r.Percent != m.percent {
+			m.percent, m.moved = r.Percent, now
+		}
+		if r.Saved != "" && r.Saved != m.place.job.progress.Saved(r.Task) {
+			m.place.job.progress.Save(r.Task, r.Saved)
+			m.place.Saved = now
+		}
+		if m.confirmed.IsZero() {
+			m.confirmed = now
+		}
+		return
+	}
+	if m != nil && m.place.run > r.Run && !m.sent {
+		return
+	}
+	t.Log.Write(event.RunUnknown, "task", r.Task.String(), "run", r.Run, "worker", string(w.info.ID))
+	w.agent.Stop(t.ctx, agent.Order{Task: r.Task, Run: r.Run})
+}
+
+// findMissing ends members that the worker must list and does not: the report
+// was asked for after the worker had taken the order.
+func (t *term) findMissing(w *worker, running map[graph.TaskID]int64, asked time.Time) {
+	for id, m := range w.members {
+		if m.confirmed.IsZero() || !m.confirmed.Before(asked) {
+			continue
+		}
+		if run, ok := running[id]; ok && run == m.place.run {
+			continue
+		}
+		t.Log.Write(event.TaskLost, "task", id.String(), "run", m.place.run, "worker", string(w.info.ID), "reason", "not listed")
+		t.endMember(m, graph.Lost, "")
+	}
+}
+
+// adopt takes over the runs of an earlier term.
+func (t *term) adopt(w *worker, r agent.Report) {
+	for _, run := range r.Running {
+		j, ok := t.jobs[run.Task.Job]
+		if !ok || t.members[run.Task] != nil {
+			continue
+		}
+		j.progress.Open(time.Now())
+		task := j.progress.Task(run.Task)
+		if task == nil || task.Done || j.progress.Ended != "" {
+			continue
+		}
+		t.adoptRun(j, w, run)
+	}
+}
+
+// adoptRun makes a run a member of a placement. Members of one gang with the
+// same run number share a placement, which is complete when all have been
+// found.
+func (t *term) adoptRun(j *job, w *worker, run agent.Run) {
+	j.progress.Begun = true
+	p := t.adoptedPlacement(j, run)
+	m := &member{
+		task: run.Task, place: p, worker: w, sent: true, confirmed: time.Now(), percent: run.Percent, moved: time.Now(),
+	}
+	p.members = append(p.members, m)
+	p.left++
+	entry := t.pool.Worker(w.info.ID)
+	p.Workers = append(p.Workers, entry)
+	entry.Occupied = entry.Occupied.Plus(p.Unit.Spec().Room())
+	t.members[run.Task] = m
+	w.members[run.Task] = m
+	w.agent.Expect(len(w.members))
+	j.progress.Save(run.Task, run.Saved)
+	if j.progress.Job.Cancelled {
+		p.Stopping = false
+		t.stop(p, "cancelled")
+	}
+}
+
+func (t *term) adoptedPlacement(j *job, run agent.Run) *placement {
+	step := &j.progress.Job.Steps[run.Task.Step]
+	if step.Gang {
+		for p := range t.placed {
+			if p.job == j && p.run == run.Run && p.Unit.Step == run.Task.Step && p.Unit.Occurrence == run.Task.Occurrence {
+				return p
+			}
+		}
+	}
+	u := graph.Unit{Progress: j.progress, Occurrence: run.Task.Occurrence, Step: run.Task.Step, Members: []int{run.Task.Index}}
+	if step.Gang {
+		u.Members = make([]int, step.Count)
+		for i := range u.Members {
+			u.Members[i] = i
+		}
+	}
+	p := &placement{Placed: plan.Placed{Unit: u, Since: time.Now()}, job: j, run: run.Run, adopted: true}
+	u.SetBusy(true)
+	t.placed[p] = true
+	j.placed++
+	return p
+}
+
+// stopIncomplete stops adopted gangs of which members are missing once all
+// workers have been read.
+func (t *term) stopIncomplete() {
+	for p := range t.placed {
+		if p.adopted && len(p.members) < len(p.Unit.Members) {
+			t.stop(p, "incomplete")
+		}
+	}
+}
+
+// findStalls moves tasks that make no progress.
+func (t *term) findStalls(now time.Time) {
+	for p := range t.placed {
+		if p.Stopping || p.Since.IsZero() || p.Unit.Spec().LongRunning {
+			continue
+		}
+		if m := p.stalled(now); m != nil {
+			t.Log.Write(event.TaskStalled, "task", m.task.String(), "run", p.run, "worker", string(m.worker.info.ID),
+				"percent", m.percent, "since", now.Sub(m.moved).String())
+			t.avoidWorker(p, m.worker)
+			t.bar(m.worker, now, "stalled")
+			t.stop(p, "stalled")
+		}
+	}
+}
+
+// stalled returns the member that has made no progress for longest, if all
+// that work do not, or nil.
+func (p *placement) stalled(now time.Time) *member {
+	var worst *member
+	for _, m := range p.members {
+		if m.percent >= fullPercent || m.worker.silent || m.confirmed.IsZero() || now.Sub(m.moved) < stallAfter {
+			continue
+		}
+		if worst == nil || m.percent < worst.percent {
+			worst = m
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/lead/scheduler.go
@@ -0,0 +1,303 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/agent"
+	"github.com/baobabquay/baobabquay/internal/elect"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/plan"
+	"github.com/baobabquay/baobabquay/internal/pool"
+	"github.com/baobabquay/baobabquay/internal/queues"
+	"github.com/baobabquay/baobabquay/internal/shard"
+	"github.com/baobabquay/baobabquay/internal/store"
+)
+
+type (
+	// Deps is what a scheduler needs.
+	Deps struct {
+		Table  store.Table
+		Feed   store.Feed
+		Calls  agent.Calls
+		Queues *queues.Keeper
+		Limits agent.Limits
+		// WorkerList is the table of the platform's list of workers, and
+		// ReadWorker decodes one of its rows.
+		WorkerList string
+		ReadWorker func(store.Row) (Listed, error)
+		Log        event.Log
+	}
+
+	// Listed is a worker in the platform's list.
+	Listed struct {
+		pool.Worker
+		// Draining workers finish what they run and leave.
+		Draining bool
+		// Remaining is the least time that a draining worker stays, 0 if it
+		// does not say.
+		Remaining time.Duration
+	}
+
+	// Status is what the leader shows of a job.
+	Status struct {
+		Phase graph.Phase
+		Queue string
+	}
+
+	// Scheduler runs terms, one at a time. Status and Waiting are safe for
+	// concurrent use.
+	Scheduler struct {
+		Deps
+		statuses *shard.Map[graph.ID, Status]
+
+		mu      sync.Mutex
+		waiting map[string]int
+		serving bool
+	}
+
+	// job is a live job of the term.
+	job struct {
+		progress *graph.Progress
+		// old jobs were accepted before the term began.
+		old bool
+		// placed is the number of its placements.
+		placed int
+		// due is the instant of the next occurrence, zero for none.
+		due time.Time
+		// avoid lists the workers on which a step's tasks have failed.
+		avoid map[stepKey]map[pool.WorkerID]bool
+		// moves counts how often a step was stopped for others.
+		moves map[stepKey]int
+		// runs is the last run number.
+		runs  int64
+		dirty bool
+	}
+
+	stepKey struct {
+		occurrence int
+		step       int
+	}
+
+	// term is the state of one term. Its goroutine alone uses it, except for
+	// the inbox.
+	term struct {
+		*Scheduler
+		elect.Term
+		ctx   context.Context
+		inbox chan any
+
+		jobs    map[graph.ID]*job
+		workers map[pool.WorkerID]*worker
+		pool    *pool.Pool
+		members map[graph.TaskID]*member
+		// waitRoom lists the placements that are not started yet.
+		waitRoom map[*placement]bool
+		placed   map[*placement]bool
+
+		unread  int // workers of earlier terms that have not answered
+		settled bool
+		// listedOnce reports whether the platform's list has been read.
+		listedOnce bool
+		pending    commit
+		inFlight   bool
+		since      time.Time // when the first unstored change was made
+		waits      string    // the last reported counts of waiting units
+		agents     sync.WaitGroup
+	}
+)
+
+const (
+	// inboxSize bounds the events that wait for the scheduler.
+	inboxSize = 1024
+	// drainMost is the number of events that are applied before one decision.
+	drainMost = 256
+	// tick is the longest time between two decisions while something waits or
+	// runs: timed decisions are patience, bars and stalls.
+	tick = 250 * time.Millisecond
+	// gather is how long changes wait for others to share their transaction.
+	gather = 25 * time.Millisecond
+	// statusParts is the number of locks over the shown phases.
+	statusParts = 16
+	// runsPerEpoch bounds the starts of one job in one term.
+	runsPerEpoch = 1 << 20
+)
+
+// New returns a scheduler that does not lead.
+func New(d Deps) *Scheduler {
+	return &Scheduler{
+		Deps: d, statuses: shard.New[graph.ID, Status](statusParts), waiting: make(map[string]int),
+	}
+}
+
+// Status returns what this instance, as the leader, knows of a job.
+func (s *Scheduler) Status(id graph.ID) (Status, bool) {
+	s.mu.Lock()
+	serving := s.serving
+	s.mu.Unlock()
+	if !serving {
+		return Status{}, false
+	}
+	return s.statuses.Load(id)
+}
+
+// Waiting returns the number of jobs by queue of which nothing has started,
+// and whether this instance leads.
+func (s *Scheduler) Waiting(queue string) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting[queue], s.serving
+}
+
+func (s *Scheduler) serve(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving = on
+}
+
+// Run leads until ctx ends or another leader is found.
+func (s *Scheduler) Run(ctx context.Context, e elect.Term) error {
+	ctx, cancel := context.WithCancel(ctx)
+	t := &term{
+		Scheduler: s, Term: e, ctx: ctx, inbox: make(chan any, inboxSize),
+		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), pool: pool.New(),
+		members: make(map[graph.TaskID]*member), waitRoom: make(map[*placement]bool), placed: make(map[*placement]bool),
+	}
+	defer func() {
+		cancel()
+		t.agents.Wait()
+		s.serve(false)
+	}()
+	if err := t.load(ctx); err != nil {
+		return fmt.Errorf("begin term %d: %w", e.Epoch, err)
+	}
+	t.publish()
+	s.serve(true)
+	t.follow(ctx)
+	return t.loop(ctx)
+}
+
+// post passes an event to the scheduler's goroutine.
+func (t *term) post(ev any) {
+	select {
+	case t.inbox <- ev:
+	case <-t.ctx.Done():
+	}
+}
+
+// loop applies events and decides until ctx ends.
+func (t *term) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case ev := <-t.inbox:
+			if err := t.applyAll(ev); err != nil {
+				return err
+			}
+		case <-timer.C:
+		}
+		now := time.Now()
+		t.openDue(now)
+		t.findStalls(now)
+		t.decide(now)
+		t.launch(now)
+		t.flush(now)
+		timer.Reset(t.nextTimer(now))
+	}
+}
+
+// applyAll applies ev and the events that wait behind it.
+func (t *term) applyAll(ev any) error {
+	for n := 0; ; n++ {
+		if err := t.apply(ev); err != nil {
+			return err
+		}
+		if n >= drainMost {
+			return nil
+		}
+		select {
+		case ev = <-t.inbox:
+		default:
+			return nil
+		}
+	}
+}
+
+func (t *term) apply(ev any) error {
+	switch e := ev.(type) {
+	case jobChanges:
+		t.applyJobs(e)
+	case workerChanges:
+		t.applyWorkers(e)
+	case agent.Event:
+		return t.applyAgent(e)
+	case committed:
+		return t.applyCommitted(e)
+	}
+	return nil
+}
+
+// nextTimer returns how long the loop may wait without an event.
+func (t *term) nextTimer(now time.Time) time.Duration {
+	const idle = time.Second
+	wait := idle
+	if len(t.placed) > 0 || len(t.jobs) > 0 {
+		wait = tick
+	}
+	if !t.since.IsZero() && !t.inFlight {
+		wait = min(wait, max(gather-now.Sub(t.since), time.Millisecond))
+	}
+	for _, j := range t.jobs {
+		if !j.due.IsZero() {
+			wait = min(wait, max(time.Until(j.due), time.Millisecond))
+		}
+	}
+	return wait
+}
+
+// decide places waiting units and orders the stops that make room for them.
+func (t *term) decide(now time.Time) {
+	config := t.Queues.Current()
+	if config == nil {
+		return
+	}
+	t.closeDomains()
+	view := &plan.View{
+		Pool: t.pool, Waiting: t.ready(), Guarantees: config.Guarantees(), Avoid: t.avoid, Present: t.present,
+	}
+	for p := range t.placed {
+		view.Placed = append(view.Placed, &p.Placed)
+	}
+	if len(view.Waiting) == 0 {
+		return
+	}
+	d := plan.Decide(now, view)
+	for _, stop := range d.Stops {
+		t.makeRoom(now, stop)
+	}
+	for _, start := range d.Starts {
+		t.place(now, start)
+	}
+	if text := fmt.Sprint(d.Waits); text != t.waits {
+		t.waits = text
+		t.Log.Write(event.UnitsWait, "counts", d.Waits, "placed", len(t.placed))
+	}
+}
+
+// ready returns the units that may be placed.
+func (t *term) ready() []graph.Unit {
+	var units []graph.Unit
+	for _, j := range t.jobs {
+		if j.old && !t.settled {
+			continue
+		}
+		units = append(units, j.progress.Ready()...)
+	}
+	return units
+}
--- /dev/null
+++ b/internal/ledger/accept.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
+)
+
+type (
+	// Ledger reads and writes jobs for an instance that need not lead. It is
+	// safe for concurrent use.
+	Ledger struct {
+		table store.Table
+	}
+
+	// Outcome is the result of a change of a job.
+	Outcome int
+)
+
+// The outcomes.
+const (
+	// Stored means that the change is stored, now or by an earlier try.
+	Stored Outcome = iota
+	// NotStored means that the change has not taken effect and will not.
+	NotStored
+	// Unsure means that the change may have taken effect, or still may.
+	Unsure
+	// Absent means that there is no such job.
+	Absent
+	// Over means that the job had ended before.
+	Over
+)
+
+// retryPause is the pause between two tries of a call; the store answers in
+// 4 ms, and a caller waits at most seconds.
+const retryPause = 120 * time.Millisecond
+
+// New returns a ledger on the table.
+func New(t store.Table) *Ledger { return &Ledger{table: t} }
+
+// Accept stores a new job. It tries again until ctx ends, except when the store
+// has certainly not taken the job: then it returns NotStored with the error.
+// A job whose identifier is known already counts as stored.
+func (l *Ledger) Accept(ctx context.Context, j *graph.Job) (Outcome, error) {
+	value, err := Encode(j)
+	if err != nil {
+		return NotStored, fmt.Errorf("accept job %s: %w", j.ID, err)
+	}
+	txn := store.Txn{
+		Checks: []store.Check{{Key: JobKey(j.ID)}, {Key: EndedKey(j.ID)}},
+		Puts:   []store.Put{{Key: JobKey(j.ID), Value: value}},
+	}
+	unsure := false
+	for {
+		_, err := l.table.Commit(ctx, txn)
+		switch {
+		case err == nil, store.IsConflict(err):
+			// A conflict means that the job, or its end, is stored already.
+			return Stored, nil
+		case errors.Is(err, store.ErrUncertain):
+			unsure = true
+		case !unsure:
+			return NotStored, fmt.Errorf("accept job %s: %w", j.ID, err)
+		}
+		if !sleep(ctx, retryPause) {
+			return Unsure, fmt.Errorf("accept job %s: %w", j.ID, err)
+		}
+	}
+}
+
+// Cancel marks a job as cancelled. It tries again until ctx ends.
+func (l *Ledger) Cancel(ctx context.Context, id graph.ID) (Outcome, error) {
+	for {
+		outcome, err := l.cancel(ctx, id)
+		if err == nil {
+			return outcome, nil
+		}
+		if !sleep(ctx, retryPause) {
+			return Unsure, fmt.Errorf("cancel job %s: %w", id, err)
+		}
+	}
+}
+
+func (l *Ledger) cancel(ctx context.Context, id graph.ID) (Outcome, error) {
+	row, err := l.table.Get(ctx, JobKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		_, known, err := l.ended(ctx, id)
+		switch {
+		case err != nil:
+			return Unsure, err
+		case known:
+			return Over, nil
+		}
+		return Absent, nil
+	}
+	if err != nil {
+		return Unsure, fmt.Errorf("read job: %w", err)
+	}
+	var j graph.Job
+	if err := Decode(row, &j); err != nil {
+		return Unsure, err
+	}
+	if j.Cancelled {
+		return Stored, nil
+	}
+	j.Cancelled = true
+	value, err := Encode(&j)
+	if err != nil {
+		return Unsure, err
+	}
+	_, err = l.table.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: row.Key, Version: row.Version}},
+		Puts:   []store.Put{{Key: row.Key, Value: value}},
+	})
+	if err != nil {
+		return Unsure, fmt.Errorf("write job: %w", err)
+	}
+	return Stored, nil
+}
+
+// Phase returns the phase of a job as far as the rows tell, and whether there
+// is such a job. A job that has not ended counts as pending.
+func (l *Ledger) Phase(ctx context.Context, id graph.ID) (graph.Phase, bool, error) {
+	// A job that ends between the two reads is found by the second one.
+	row, err := l.table.Get(ctx, JobKey(id))
+	switch {
+	case err == nil:
+		return livePhase(row)
+	case !errors.Is(err, store.ErrNotFound):
+		return "", false, fmt.Errorf("read job %s: %w", id, err)
+	}
+	ended, known, err := l.ended(ctx, id)
+	if err != nil {
+		return "", false, fmt.Errorf("read end of job %s: %w", id, err)
+	}
+	return ended.Phase, known, nil
+}
+
+func livePhase(row store.Row) (graph.Phase, bool, error) {
+	var j graph.Job
+	if err := Decode(row, &j); err != nil {
+		return "", false, err
+	}
+	if j.Cancelled {
+		return graph.Cancelled, true, nil
+	}
+	return graph.Pending, true, nil
+}
+
+func (l *Ledger) ended(ctx context.Context, id graph.ID) (Ended, bool, error) {
+	row, err := l.table.Get(ctx, EndedKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return Ended{}, false, nil
+	}
+	if err != nil {
+		return Ended{}, false, fmt.Errorf("read end: %w", err)
+	}
+	var e Ended
+	if err := Decode(row, &e); err != nil {
+		return Ended{}, false, err
+	}
+	return e, true, nil
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/node/app.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/baobabquay/baobabquay/internal/accept"
+	"github.com/baobabquay/baobabquay/internal/agent"
+	"github.com/baobabquay/baobabquay/internal/elect"
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/lead"
+	"github.com/baobabquay/baobabquay/internal/ledger"
+	"github.com/baobabquay/baobabquay/internal/peerv1"
+	"github.com/baobabquay/baobabquay/internal/queues"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/platform"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+)
+
+type (
+	// parts are the components of an instance.
+	parts struct {
+		settings  Settings
+		log       event.Log
+		self      elect.Self
+		client    *platform.Client
+		queues    *queues.Keeper
+		scheduler *lead.Scheduler
+		elector   *elect.Elector
+		desk      *accept.Desk
+		peers     *peers
+		contact   contact
+		stopping  atomic.Bool
+
+		end context.CancelFunc
+		run sync.WaitGroup
+		// stand ends the candidature.
+		stand   context.CancelFunc
+		servers []*http.Server
+	}
+
+	// contact notes when the store last answered.
+	contact struct {
+		mu   sync.Mutex
+		last time.Time
+		down bool
+	}
+)
+
+const (
+	// configPatience is how long one call waits for a change of the
+	// configuration. A connection that has gone silent is noticed after it, and
+	// a version must be in force 2.5 s after it was accepted.
+	configPatience = 900 * time.Millisecond
+	// contactLimit is how old the store's last answer may be for an instance
+	// that wants callers.
+	contactLimit = 3 * time.Second
+	// leaseTime is the time for which runs are leased: a leader that dies is
+	// replaced in 1.2 to 2 s, and its successor needs about half a second to
+	// reach all workers.
+	leaseTime = 5 * time.Second
+	// drainTime is how long a stopping instance still answers on open
+	// connections, which the balancer and the callers leave in the meantime.
+	drainTime = 2 * time.Second
+	// headerLimit and idleLimit bound what callers may hold open.
+	headerLimit = 3 * time.Second
+	idleLimit   = 30 * time.Second
+)
+
+// New returns the app of an instance.
+func New(s Settings, logger logr.Logger) *fx.App {
+	return fx.New(
+		fx.NopLogger,
+		fx.Supply(s),
+		fx.Provide(
+			func() event.Log { return event.New(logger).With("instance", s.Name) },
+			newParts,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, p *parts) {
+			lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
+		}),
+	)
+}
+
+func newParts(s Settings, log event.Log) *parts {
+	p := &parts{
+		settings: s, log: log, client: platform.NewClient(s.Store), queues: queues.NewKeeper(log),
+		self: elect.Self{Name: s.Name + "-" + uuid.NewString()[:8], Peer: s.Peer},
+	}
+	table, feed := p.client.Table(), p.client.Feed()
+	p.scheduler = lead.New(lead.Deps{
+		Table: table, Feed: feed, Calls: platform.WorkerCalls(p.client), Queues: p.queues,
+		Limits:     agent.Limits{Lease: min(leaseTime, s.LongestLease), Bound: s.LongestLease},
+		WorkerList: platform.WorkerTable, ReadWorker: platform.ReadWorker, Log: log,
+	})
+	p.elector = elect.New(elect.Deps{Table: table, Feed: feed, Self: p.self, Lead: p.scheduler.Run, Log: log})
+	p.peers = newPeers(p.elector, p.scheduler)
+	p.desk = accept.New(accept.Deps{
+		Queues: p.queues, Ledger: ledger.New(table), Log: log,
+		Leader: accept.Leader{Phase: p.peers.phase, Queue: p.peers.queue},
+	})
+	return p
+}
+
+func (p *parts) start(context.Context) error {
+	if err := p.listen(); err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(context.Background())
+	stand, standEnd := context.WithCancel(ctx)
+	p.end, p.stand = end, standEnd
+	orders := store.Follower{
+		Feed: p.client.Feed(), Table: platform.OrderTable, Patience: configPatience,
+		Apply: p.applyOrders, Trouble: p.noteContact,
+	}
+	p.run.Go(func() { orders.Run(ctx) })
+	p.run.Go(func() { p.elector.Run(stand) })
+	p.log.Write(event.InstanceReady, "listen", p.settings.Listen.String(), "peer", p.settings.Peer.String())
+	return nil
+}
+
+// listen opens the addresses of the instance.
+func (p *parts) listen() error {
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peerv1.NewLeadHandler(p.peers))
+	metricsMux := http.NewServeMux()
+	metricsMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	for _, s := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{p.settings.Listen, p.draining(platform.NewFront(p.desk))},
+		{p.settings.Ready, platform.NewReady(p.ready)},
+		{p.settings.Peer, peerMux},
+		{p.settings.Metrics, metricsMux},
+	} {
+		l, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			return fmt.Errorf("listen on %v: %w", s.address, err)
+		}
+		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+		p.servers = append(p.servers, server)
+		p.run.Go(func() {
+			if err := server.Serve(l); err != nil && err != http.ErrServerClosed {
+				p.log.Write(event.InstanceEnded, "reason", err.Error())
+			}
+		})
+	}
+	return nil
+}
+
+// draining tells callers to leave their connections once a stop has begun.
+func (p *parts) draining(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// ready reports whether the instance wants callers.
+func (p *parts) ready() bool {
+	return !p.stopping.Load() && p.queues.Current() != nil && p.contact.fresh()
+}
+
+// applyOrders applies the operators' rows.
+func (p *parts) applyOrders(c store.Changes, whole bool) {
+	out := make(map[string]bool)
+	for _, ch := range c.Rows {
+		if domain, ok := platform.OutOfService(ch.Row); ok {
+			out[domain] = !ch.Deleted
+			p.queues.SetOutOfService(domain, !ch.Deleted)
+		}
+		if ch.Deleted || !platform.IsConfig(ch.Row) {
+			continue
+		}
+		config, err := platform.ReadConfig(ch.Row)
+		if err != nil {
+			p.log.Write(event.ConfigRefused, "version", ch.Row.Version, "reason", err.Error())
+			continue
+		}
+		p.queues.Install(config)
+	}
+	if !whole {
+		return
+	}
+	for domain := range p.queues.OutOfService() {
+		if !out[domain] {
+			p.queues.SetOutOfService(domain, false)
+		}
+	}
+}
+
+// noteContact notes the outcome of a call of the store.
+func (p *parts) noteContact(err error) {
+	if changed := p.contact.note(err); changed && err != nil {
+		p.log.Write(event.StoreDown, "table", platform.OrderTable, "reason", err.Error())
+	} else if changed {
+		p.log.Write(event.StoreBack, "table", platform.OrderTable)
+	}
+}
+
+// note returns whether the store's state has changed.
+func (c *contact) note(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := c.down != (err != nil)
+	c.down = err != nil
+	if err == nil {
+		c.last = time.Now()
+	}
+	return changed
+}
+
+func (c *contact) fresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.last.IsZero() && time.Since(c.last) < contactLimit
+}
+
+// stop hands the lease over, answers callers until they have left, and ends.
+func (p *parts) stop(ctx context.Context) error {
+	p.stopping.Store(true)
+	p.log.Write(event.InstanceStop, "leads", p.elector.Leads())
+	p.elector.Retire()
+	p.stand()
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(drainTime, p.settings.Grace/3)):
+	}
+	limit, cancel := context.WithTimeout(ctx, p.settings.Grace/3)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range p.servers {
+		wg.Go(func() {
+			if err := s.Shutdown(limit); err != nil {
+				p.log.Write(event.InstanceEnded, "cutOff", true, "reason", err.Error())
+			}
+		})
+	}
+	wg.Wait()
+	p.end()
+	p.run.Wait()
+	p.log.Write(event.InstanceEnded, "cutOff", false)
+	return nil
+}
--- /dev/null
+++ b/internal/store/feed.go
@@ -0,0 +1,107 @@
+package store
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type (
+	// Change is a row that was written or, if Deleted, removed.
+	Change struct {
+		Row     Row
+		Deleted bool
+	}
+
+	// Changes are rows of one table up to a version.
+	Changes struct {
+		Rows    []Change
+		Version int64
+	}
+
+	// Feed tells the changes of whole tables.
+	Feed struct {
+		// Read returns all rows of a table as of one version.
+		Read func(ctx context.Context, table string) (Changes, error)
+		// Wait returns the changes after a version in their order, at the
+		// latest after the given time, possibly none. The error is
+		// ErrCompacted if the changes are no longer known.
+		Wait func(ctx context.Context, table string, after int64, most time.Duration) (Changes, error)
+	}
+
+	// Follower calls Apply with the rows of a table and then with their
+	// changes, as long as it runs.
+	Follower struct {
+		Feed  Feed
+		Table string
+		// Patience is how long one call waits for a change.
+		Patience time.Duration
+		// Apply takes changes. With whole, they are all rows of the table, and
+		// rows that are not among them are gone.
+		Apply func(c Changes, whole bool)
+		// Trouble is told each failed call, and nil after each good one.
+		Trouble func(err error)
+	}
+)
+
+const (
+	// readLimit bounds a read of a whole table, whose pages have 500 rows.
+	readLimit = 3 * time.Second
+	// answerSlack is what a call that waits may take beyond its wait: a round
+	// trip between regions and a slow store.
+	answerSlack = 1200 * time.Millisecond
+	// feedRetry is the pause after a failed call; a follower must see a new
+	// configuration within 2.5 s of the store's return.
+	feedRetry = 150 * time.Millisecond
+)
+
+// Name returns the part of a key behind the table.
+func Name(key string) string {
+	_, name, _ := strings.Cut(key, "/")
+	return name
+}
+
+// ErrCompacted means that the store no longer has the changes asked for.
+var ErrCompacted = errors.New("history dropped")
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	version, whole := int64(0), true
+	for ctx.Err() == nil {
+		var c Changes
+		var err error
+		if whole {
+			c, err = f.read(ctx)
+		} else {
+			c, err = f.wait(ctx, version)
+		}
+		f.Trouble(err)
+		switch {
+		case err == nil:
+			if whole || len(c.Rows) > 0 {
+				f.Apply(c, whole)
+			}
+			version, whole = max(version, c.Version), false
+		case errors.Is(err, ErrCompacted):
+			whole = true
+		default:
+			if pause(ctx, feedRetry) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	return f.Feed.Read(ctx, f.Table)
+}
+
+func (f *Follower) wait(ctx context.Context, after int64) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Patience+answerSlack)
+	defer cancel()
+	return f.Feed.Wait(ctx, f.Table, after, f.Patience)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -58,6 +58,8 @@
 	// ConflictError lists the keys whose versions did not match.
 	ConflictError struct {
 		Keys []string
+		// Rows are the present rows, if the store returned them.
+		Rows []Row
 	}
 )
 
