Show the end of a gang's job until its rows are gone, and count limited tasks within a round

Cause: a member of a gang that ended after the job's end was stored put the job back to running; tasks with a limit on each worker were counted only before a round, so one round could place two on a worker. Ruled out: the store's rows, which had the right phase. Change: an ended job is not shown again; plan counts what the round places.

--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -220,8 +220,11 @@
 	delete(t.waitRoom, p)
 	p.Unit.SetBusy(false)
 	p.job.placed--
-	t.finish(p.job)
-	t.show(p.job)
+	// The members of a gang may end after the end of their job is stored.
+	if t.jobs[p.job.progress.Job.ID] == p.job {
+		t.finish(p.job)
+		t.show(p.job)
+	}
 }
 
 // avoidWorker notes that a step has failed on a worker.
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -73,6 +73,9 @@
 		// full lists demands that did not fit in this round, so that equal
 		// tasks are not tried again.
 		full map[fullKey]bool
+		// present counts the tasks of limited steps by worker, with those that
+		// this round places.
+		present map[fullKey]map[pool.WorkerID]int
 	}
 
 	fullKey struct {
@@ -103,11 +106,11 @@
 // Decide returns the starts and stops of one round and reserves the room of
 // the starts in the pool.
 func Decide(now time.Time, v *View) Decision {
-	r := &round{View: v, now: now, used: v.urgentUse(), full: make(map[fullKey]bool)}
+	r := &round{View: v, now: now, used: v.urgentUse(), full: make(map[fullKey]bool), present: make(map[fullKey]map[pool.WorkerID]int)}
 	r.decision.Waits = make(map[string]int)
 	Order(now, v.Waiting)
 	for _, u := range v.Waiting {
-		key := fullKey{u.Progress.Job.ID, u.Occurrence, u.Step}
+		key := keyOf(u)
 		if r.full[key] {
 			r.decision.Waits["room"]++
 			continue
@@ -219,8 +222,8 @@
 		Now: r.now, Service: u.Progress.Job.Service, Count: len(u.Members), Room: s.Room(), Label: s.Label,
 		DataRack: s.DataRack, SameRack: s.SameRack, MaxPerWorker: s.MaxPerWorker,
 	}
-	if s.MaxPerWorker > 0 && r.Present != nil {
-		req.Present = r.Present(u)
+	if s.MaxPerWorker > 0 {
+		req.Present = r.presentOf(u)
 	}
 	if r.Avoid != nil {
 		req.Avoid = r.Avoid(u)
@@ -228,10 +231,27 @@
 	return req
 }
 
+func keyOf(u graph.Unit) fullKey {
+	return fullKey{u.Progress.Job.ID, u.Occurrence, u.Step}
+}
+
+// presentOf returns the counts of u's step, which start keeps up to date.
+func (r *round) presentOf(u graph.Unit) map[pool.WorkerID]int {
+	key := keyOf(u)
+	if r.present[key] == nil {
+		r.present[key] = r.Present(u)
+	}
+	return r.present[key]
+}
+
 func (r *round) start(u graph.Unit, chosen []*pool.Worker, near bool, reason string) {
 	room := u.Spec().Room()
+	present := r.present[keyOf(u)]
 	for _, w := range chosen {
 		w.Reserved = w.Reserved.Plus(room)
+		if present != nil {
+			present[w.ID]++
+		}
 	}
 	if Urgent(u.Progress.Job) {
 		r.used[u.Progress.Job.Workspace] += accelerators(u)
@@ -241,7 +261,7 @@
 
 // reclaim stops the units that lose the least work so that u has room.
 func (r *round) reclaim(u graph.Unit, req pool.Request) string {
-	best, cost := r.cheapest(u, req)
+	best := r.cheapest(u, req)
 	if best == nil {
 		return "guarantee"
 	}
@@ -253,7 +273,6 @@
 		// The stops were computed for one rack and Choose looks there first.
 		return "room"
 	}
-	_ = cost
 	r.start(u, chosen, near, "reclaim")
 	return ""
 }
@@ -276,7 +295,7 @@
 
 // cheapest returns the set of victims with the least lost work among the
 // racks, the data's rack preferred, or nil.
-func (r *round) cheapest(u graph.Unit, req pool.Request) ([]*Placed, float64) {
+func (r *round) cheapest(u graph.Unit, req pool.Request) []*Placed {
 	var best []*Placed
 	var least float64
 	consider := func(workers []*pool.Worker, factor float64) {
@@ -298,7 +317,7 @@
 		r.Pool.Each(func(w *pool.Worker) { all = append(all, w) })
 		consider(all, 1)
 	}
-	return best, least
+	return best
 }
 
 // victims returns units on the workers, cheapest first, whose stop makes room
