Name the epoch in each job and look at the lease again before taking it

A candidate that had been woken for a stale lease took the fresh one of another candidate, so epochs changed several times within 100 ms; and a new leader started a new job on a worker while the former leader, not yet fenced there, started the same job elsewhere. Ruled out: late orders (the runs were started by two live leaders).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -289,6 +289,10 @@
 		a.lives++
 		a.seen, a.sent, a.until, a.listed = 0, 0, 0, 0
 	}
+	if a.born.IsZero() && len(r.Running) > 0 {
+		// A former leader may have leased these runs until then.
+		a.until = max(a.until, r.Clock+a.Limits.Bound)
+	}
 	a.born, a.silent = r.Born, 0
 	a.note(r.Clock, reborn)
 	for _, e := range r.Ended {
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -47,6 +47,7 @@
 
 		mu      sync.Mutex
 		row     store.Row
+		epoch   ledger.Epoch
 		lease   ledger.Lease
 		changed time.Time
 		near    time.Duration
@@ -116,7 +117,9 @@
 		select {
 		case <-ctx.Done():
 		case <-e.wake:
-			e.stand(ctx)
+			if e.canTake() {
+				e.stand(ctx)
+			}
 		}
 	}
 	stop()
@@ -128,6 +131,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, ch := range c.Rows {
+		if ch.Row.Key == ledger.EpochKey && !ch.Deleted {
+			e.applyEpoch(ch.Row)
+		}
 		var l ledger.Lease
 		if ch.Row.Key != ledger.LeaseKey || ch.Deleted || ch.Row.Version <= e.row.Version {
 			continue
@@ -143,6 +149,25 @@
 	}
 }
 
+// applyEpoch notes the epoch in force. The lock is held.
+func (e *Elector) applyEpoch(row store.Row) {
+	epoch, err := ledger.DecodeEpoch(row)
+	if err != nil {
+		e.Log.Write(event.RowUnread, "key", row.Key, "reason", err.Error())
+		return
+	}
+	if epoch.Version > e.epoch.Version {
+		e.epoch = epoch
+	}
+}
+
+// Epoch returns the epoch as last seen.
+func (e *Elector) Epoch() ledger.Epoch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.epoch
+}
+
 // observe notes whether the store answered, and wakes the candidate if the
 // lease can be taken.
 func (e *Elector) observe(err error) {
@@ -176,6 +201,14 @@
 	return !e.changed.IsZero() && time.Since(e.changed) >= wait
 }
 
+// canTake is takeable with the lock. The lease may have changed since the
+// candidate was woken.
+func (e *Elector) canTake() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.takeable()
+}
+
 func (e *Elector) delay() time.Duration {
 	h := 0
 	for _, c := range e.Self.Name {
@@ -229,6 +262,7 @@
 		Checks: []store.Check{{Key: ledger.LeaseKey, Version: row.Version}},
 		Puts: []store.Put{
 			{Key: ledger.LeaseKey, Value: value},
+			{Key: ledger.EpochKey, Value: ledger.EpochValue(epoch)},
 			{Key: ledger.SequenceKey, Value: ledger.SequenceValue(epoch, 0)},
 		},
 	})
@@ -241,6 +275,7 @@
 	defer e.mu.Unlock()
 	e.row = store.Row{Key: ledger.LeaseKey, Value: value, Version: version}
 	e.lease, e.changed, e.renewed = lease, time.Now(), begun
+	e.epoch = ledger.Epoch{Number: epoch, Version: version}
 	return Term{Epoch: epoch, Writer: ledger.NewWriter(e.Table, epoch, version), Renewed: e.lastRenewal}, nil
 }
 
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -17,25 +18,32 @@
 }
 
 // applyJobs adds new jobs and marks cancelled ones.
-func (t *term) applyJobs(c jobChanges) {
+func (t *term) applyJobs(c jobChanges) error {
 	for _, ch := range c.Rows {
-		if !ch.Deleted {
-			t.applyJob(ch.Row)
+		if ch.Deleted {
+			continue
+		}
+		if err := t.applyJob(ch.Row); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
-func (t *term) applyJob(row store.Row) {
+func (t *term) applyJob(row store.Row) error {
 	var j graph.Job
 	if err := ledger.Decode(row, &j); err != nil {
 		t.Log.Write(event.RowUnread, "key", row.Key, "reason", err.Error())
-		return
+		return nil
+	}
+	if j.Epoch > t.Epoch {
+		return fmt.Errorf("job %s is of epoch %d: %w", j.ID, j.Epoch, ledger.ErrDeposed)
 	}
 	known, ok := t.jobs[j.ID]
 	if !ok {
 		if s, shown := t.statuses.Load(j.ID); shown && final(s.Phase) {
 			// A row read before the job's end was stored.
-			return
+			return nil
 		}
 		known = t.add(&j, graph.NewProgress(&j))
 	}
@@ -45,6 +53,7 @@
 	}
 	t.finish(known)
 	t.show(known)
+	return nil
 }
 
 // add takes a job into the term.
@@ -53,6 +62,7 @@
 		progress: p, avoid: make(map[stepKey]map[pool.WorkerID]bool), moves: make(map[stepKey]int),
 		runs: (t.Epoch - 1) * runsPerEpoch,
 	}
+	known.old = j.Epoch < t.Epoch
 	known.due = p.Open(time.Now())
 	t.jobs[j.ID] = known
 	t.Log.Write(event.JobSeen, "job", string(j.ID), "queue", j.Queue, "workspace", j.Workspace,
@@ -120,11 +130,18 @@
 	t.statuses.Store(j.progress.Job.ID, Status{Phase: phase, Queue: j.progress.Job.Queue})
 }
 
-// publish shows all jobs and counts those that wait.
+// publish shows all jobs and how many of them wait.
 func (t *term) publish() {
-	waiting := make(map[string]int)
 	for _, j := range t.jobs {
 		t.show(j)
+	}
+	t.publishWaiting()
+}
+
+// publishWaiting counts the jobs that wait by queue.
+func (t *term) publishWaiting() {
+	waiting := make(map[string]int)
+	for _, j := range t.jobs {
 		p := j.progress
 		if !p.Begun && p.Ended == "" && !p.Job.Cancelled {
 			waiting[p.Job.Queue]++
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -82,8 +82,7 @@
 			t.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
 			continue
 		}
-		known := t.add(&j, graph.Restore(&j, kept[j.ID]))
-		known.old = true
+		t.add(&j, graph.Restore(&j, kept[j.ID]))
 	}
 }
 
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -62,7 +62,8 @@
 	// job is a live job of the term.
 	job struct {
 		progress *graph.Progress
-		// old jobs were accepted before the term began.
+		// old jobs were accepted in an earlier epoch, so that a former leader
+		// may have started them.
 		old bool
 		// placed is the number of its placements.
 		placed int
@@ -207,6 +208,7 @@
 		t.findStalls(now)
 		t.decide(now)
 		t.launch(now)
+		t.publishWaiting()
 		t.flush(now)
 		timer.Reset(t.nextTimer(now))
 	}
@@ -232,7 +234,7 @@
 func (t *term) apply(ev any) error {
 	switch e := ev.(type) {
 	case jobChanges:
-		t.applyJobs(e)
+		return t.applyJobs(e)
 	case workerChanges:
 		t.applyWorkers(e)
 	case agent.Event:
