Keep a job failed whose attempts were used up when the leader changed

Change: Restore derives the failure from the counts. Figures: TestRestoreExhausted fails without it. Conclusion: the progress rows alone decide, whichever leader reads them.

--- a/internal/graph/keep.go
+++ b/internal/graph/keep.go
@@ -92,12 +92,37 @@
 			}
 		}
 	}
-	if p.allDone() {
+	switch {
+	case p.exhausted():
+		// The job's end was decided while some of its tasks still ran.
+		p.Ended, p.Reason = FailedJob, reasonAttempts
+	case p.allDone():
 		p.Ended = Completed
 	}
 	return p
 }
 
+// exhausted reports whether a task or a gang has no attempts left.
+func (p *Progress) exhausted() bool {
+	for _, o := range p.Occurrences {
+		for i := range o.Steps {
+			s := &o.Steps[i]
+			if p.Job.Steps[i].LongRunning {
+				continue
+			}
+			if s.gang.Count >= p.Job.MaxAttempts {
+				return true
+			}
+			for j := range s.Tasks {
+				if !s.Tasks[j].Done && s.Tasks[j].Failures.Count >= p.Job.MaxAttempts {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func (s *StepState) restore(k KeptStep) {
 	s.gang, s.saved = k.Gang, k.GangSaved
 	done, ok := new(big.Int).SetString(k.Done, hexadecimal)
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -66,6 +66,10 @@
 	}
 )
 
+// reasonAttempts is the reason of a job one of whose tasks has failed as often
+// as it may.
+const reasonAttempts = "attempts"
+
 // The phases.
 const (
 	Pending   Phase = "pending"
@@ -254,7 +258,7 @@
 	f.Last = run
 	if f.Count >= p.Job.MaxAttempts {
 		p.Ended = FailedJob
-		p.Reason = "attempts"
+		p.Reason = reasonAttempts
 	}
 	return true
 }
--- /dev/null
+++ b/internal/graph/progress_test.go
@@ -0,0 +1,169 @@
+package graph
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+)
+
+const testID ID = "0123456789abcdef"
+
+// chainJob has a gang of three, and then four tasks.
+func chainJob() *Job {
+	return &Job{
+		ID: testID, MaxAttempts: 2, Slack: 2, Objective: time.Second,
+		Accepted: time.Unix(1000, 0).UTC(),
+		Steps: []Step{
+			{Count: 3, Gang: true, Estimate: 2 * time.Second, Checkpoints: true},
+			{Count: 4, After: []int{0}, Estimate: 3 * time.Second},
+		},
+	}
+}
+
+func task(step, index int) TaskID { return TaskID{Job: testID, Step: step, Index: index} }
+
+// render shows what is ready, the phase and what is kept.
+func render(b *strings.Builder, title string, p *Progress) {
+	fmt.Fprintf(b, "%s: phase %s, ready", title, p.Phase())
+	for _, u := range p.Ready() {
+		fmt.Fprintf(b, " %d%v", u.Step, u.Members)
+	}
+	kept, err := json.Marshal(p.Keep())
+	if err != nil {
+		kept = []byte(err.Error())
+	}
+	fmt.Fprintf(b, "\n  kept %s\n", kept)
+}
+
+// TestProgress guards against a step that becomes ready too early, a gang of
+// which only a part is done, and a failed run that is counted twice.
+func TestProgress(t *testing.T) {
+	var b strings.Builder
+	p := NewProgress(chainJob())
+	p.Open(time.Unix(1000, 0))
+	render(&b, "accepted", p)
+	p.Ready()[0].SetBusy(true)
+	render(&b, "gang placed", p)
+	p.End(task(0, 1), 1, Failed, "c1")
+	p.End(task(0, 2), 1, Failed, "")
+	p.End(task(0, 2), 1, Failed, "")
+	p.occurrenceUnit(0).SetBusy(false)
+	render(&b, "gang failed once, listed three times", p)
+	p.End(task(0, 0), 2, Done, "")
+	render(&b, "one member done", p)
+	p.End(task(1, 0), 1, Done, "")
+	p.End(task(1, 2), 1, Done, "")
+	p.End(task(1, 3), 1, Lapsed, "")
+	render(&b, "two tasks done, one lapsed", p)
+	p.End(task(1, 1), 1, Failed, "")
+	p.End(task(1, 1), 5, Failed, "")
+	render(&b, "a task failed twice", p)
+	golden.Assert(t, b.String(), "progress.golden")
+}
+
+func (p *Progress) occurrenceUnit(step int) Unit {
+	members := make([]int, p.Job.Steps[step].Count)
+	for i := range members {
+		members[i] = i
+	}
+	return Unit{Progress: p, Step: step, Members: members}
+}
+
+// TestRestoreExhausted guards against a new leader that starts a task again
+// whose attempts were used up while other tasks of its job still ran.
+func TestRestoreExhausted(t *testing.T) {
+	p := NewProgress(chainJob())
+	p.Open(time.Unix(1000, 0))
+	p.End(task(0, 1), 1, Failed, "")
+	p.End(task(0, 1), 2, Failed, "")
+	assert.Equal(t, p.Phase(), FailedJob)
+	assert.Equal(t, Restore(p.Job, p.Keep()).Phase(), FailedJob)
+}
+
+// TestKeep guards against progress that is lost or changed on its way through
+// the store, in any order of ends.
+func TestKeep(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		p := NewProgress(chainJob())
+		p.Open(time.Unix(1000, 0))
+		for i := range rapid.IntRange(0, 12).Draw(r, "ends") {
+			step := rapid.IntRange(0, 1).Draw(r, "step")
+			id := task(step, rapid.IntRange(0, p.Job.Steps[step].Count-1).Draw(r, "index"))
+			how := rapid.SampledFrom([]How{Done, Failed, Stopped, Lapsed, Broken}).Draw(r, "how")
+			p.End(id, int64(i/2+1), how, rapid.SampledFrom([]string{"", "s1"}).Draw(r, "saved"))
+		}
+		q := Restore(p.Job, p.Keep())
+		assert.Equal(r, q.Phase(), p.Phase())
+		assert.Equal(r, fmt.Sprint(readyNames(q)), fmt.Sprint(readyNames(p)))
+		assert.DeepEqual(r, q.Keep(), p.Keep())
+	})
+}
+
+func readyNames(p *Progress) []TaskID {
+	var names []TaskID
+	for _, u := range p.Ready() {
+		names = append(names, u.Tasks()...)
+	}
+	return names
+}
+
+// TestOpen guards against occurrences that begin early or never.
+func TestOpen(t *testing.T) {
+	j := chainJob()
+	j.Times, j.First, j.Interval = 3, time.Unix(2000, 0), 10*time.Second
+	p := NewProgress(j)
+	var b strings.Builder
+	for _, s := range []int64{1990, 1999, 2000, 2009, 2025} {
+		next := p.Open(time.Unix(s, 0))
+		fmt.Fprintf(&b, "at %d: %d open, next %d\n", s, len(p.Occurrences), max(next.Unix(), 0))
+	}
+	golden.Assert(t, b.String(), "open.golden")
+}
+
+// TestCheck guards against jobs that can never run being stored.
+func TestCheck(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct {
+		name   string
+		change func(*Job)
+	}{
+		{"as it is", func(*Job) {}},
+		{"no steps", func(j *Job) { j.Steps = nil }},
+		{"unknown step", func(j *Job) { j.Steps[1].After = []int{7} }},
+		{"cycle", func(j *Job) { j.Steps[0].After = []int{1} }},
+		{"step after itself", func(j *Job) { j.Steps[1].After = []int{1} }},
+		{"no tasks", func(j *Job) { j.Steps[0].Count = 0 }},
+		{"negative demand", func(j *Job) { j.Steps[0].Demand.MemoryMiB = -1 }},
+		{"too many tasks", func(j *Job) { j.Steps[0].Count = maxTasks }},
+		{"long spec", func(j *Job) { j.Spec = strings.Repeat("x", maxSpec+1) }},
+		{"times without interval", func(j *Job) { j.Times = 2 }},
+	} {
+		j := chainJob()
+		c.change(j)
+		fmt.Fprintf(&b, "%s: %v\n", c.name, j.Check())
+	}
+	golden.Assert(t, b.String(), "check.golden")
+}
+
+// FuzzParseTask guards against names of tasks that do not survive the way to
+// a worker and back.
+func FuzzParseTask(f *testing.F) {
+	f.Add("0123456789abcdef.0.1.17")
+	f.Add("...")
+	f.Add("a.-1.0.0")
+	f.Fuzz(func(t *testing.T, s string) {
+		id, err := ParseTask(s)
+		if err != nil {
+			return
+		}
+		again, err := ParseTask(id.String())
+		assert.NilError(t, err)
+		assert.Equal(t, again, id)
+	})
+}
