--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,9 @@
 		// Report is set for Reported, with the instant at which it was asked for.
 		Report Report
 		Asked  time.Time
+		// Life is the number of the worker's life that reports. It lists no
+		// runs of earlier ones.
+		Life int64
 		// Order and Reason are set for Started, Refused, Dropped and Unsettled.
 		Order  Order
 		Reason string
@@ -82,8 +85,6 @@
 	// Dropped means that a start was given up and stopped: the next report
 	// asked for after it tells whether the run has ended or never began.
 	Dropped
-	// Reborn means that the worker has lost all its runs.
-	Reborn
 	// Silent means that the worker does not answer.
 	Silent
 	// Gone means that all leases of a silent worker have ended.
@@ -295,16 +296,14 @@
 		// A former leader may have leased these runs until then.
 		a.until = max(a.until, r.Clock+a.Limits.Bound)
 	}
+	life := a.lives
 	a.born, a.silent = r.Born, 0
 	a.note(r.Clock, reborn)
 	for _, e := range r.Ended {
 		a.listed = max(a.listed, e.Number)
 	}
 	a.mu.Unlock()
-	if reborn {
-		a.Emit(Event{Kind: Reborn, Agent: a, At: time.Now()})
-	}
-	a.Emit(Event{Kind: Reported, Agent: a, Report: r, Asked: asked, At: time.Now()})
+	a.Emit(Event{Kind: Reported, Agent: a, Report: r, Asked: asked, Life: life, At: time.Now()})
 }
 
 // note keeps the worker's clock. Answers may overtake each other, so an
@@ -342,15 +341,21 @@
 }
 
 // Start sends a start in a goroutine of its own, and an event tells its result.
-func (a *Agent) Start(ctx context.Context, o Order) {
-	a.orders.Go(func() { a.start(ctx, o) })
+// All tries have the present fencing token, so that a later life of the worker
+// refuses them. Start returns the number of the worker's present life.
+func (a *Agent) Start(ctx context.Context, o Order) int64 {
+	a.mu.Lock()
+	fence, life := a.fence(), a.lives
+	a.mu.Unlock()
+	a.orders.Go(func() { a.start(ctx, o, fence) })
+	return life
 }
 
-func (a *Agent) start(ctx context.Context, o Order) {
+func (a *Agent) start(ctx context.Context, o Order, fence int64) {
 	possible := false
 	var last error
 	for range startTries {
-		answer, err := a.sendStart(ctx, o)
+		answer, err := a.sendStart(ctx, o, fence)
 		switch {
 		case err == nil && answer.Refused == "":
 			a.Emit(Event{Kind: Started, Agent: a, Order: o, At: time.Now()})
@@ -376,9 +381,9 @@
 	a.Stop(ctx, o)
 }
 
-func (a *Agent) sendStart(ctx context.Context, o Order) (Answer, error) {
+func (a *Agent) sendStart(ctx context.Context, o Order, fence int64) (Answer, error) {
 	a.mu.Lock()
-	until, fence := a.grant(time.Now()), a.fence()
+	until := a.grant(time.Now())
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -47,7 +47,6 @@
 
 		mu      sync.Mutex
 		row     store.Row
-		epoch   ledger.Epoch
 		lease   ledger.Lease
 		changed time.Time
 		near    time.Duration
@@ -78,6 +77,8 @@
 	callLimit = 700 * time.Millisecond
 )
 
+var errFresh = errors.New("the lease is fresh again")
+
 // New returns an elector that has not begun.
 func New(d Deps) *Elector {
 	return &Elector{Deps: d, wake: make(chan struct{}, 1)}
@@ -117,9 +118,7 @@
 		select {
 		case <-ctx.Done():
 		case <-e.wake:
-			if e.canTake() {
-				e.stand(ctx)
-			}
+			e.stand(ctx)
 		}
 	}
 	stop()
@@ -131,9 +130,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, ch := range c.Rows {
-		if ch.Row.Key == ledger.EpochKey && !ch.Deleted {
-			e.applyEpoch(ch.Row)
-		}
 		var l ledger.Lease
 		if ch.Row.Key != ledger.LeaseKey || ch.Deleted || ch.Row.Version <= e.row.Version {
 			continue
@@ -149,25 +145,6 @@
 	}
 }
 
-// applyEpoch notes the epoch in force. The lock is held.
-func (e *Elector) applyEpoch(row store.Row) {
-	epoch, err := ledger.DecodeEpoch(row)
-	if err != nil {
-		e.Log.Write(event.RowUnread, "key", row.Key, "reason", err.Error())
-		return
-	}
-	if epoch.Version > e.epoch.Version {
-		e.epoch = epoch
-	}
-}
-
-// Epoch returns the epoch as last seen.
-func (e *Elector) Epoch() ledger.Epoch {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.epoch
-}
-
 // observe notes whether the store answered, and wakes the candidate if the
 // lease can be taken.
 func (e *Elector) observe(err error) {
@@ -201,14 +178,6 @@
 	return !e.changed.IsZero() && time.Since(e.changed) >= wait
 }
 
-// canTake is takeable with the lock. The lease may have changed since the
-// candidate was woken.
-func (e *Elector) canTake() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.takeable()
-}
-
 func (e *Elector) delay() time.Duration {
 	h := 0
 	for _, c := range e.Self.Name {
@@ -250,8 +219,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	e.mu.Lock()
-	row, epoch := e.row, e.lease.Epoch+1
+	row, epoch, takeable := e.row, e.lease.Epoch+1, e.takeable()
 	e.mu.Unlock()
+	if !takeable {
+		// The lease has changed since the candidate was woken.
+		return Term{}, errFresh
+	}
 	begun := time.Now()
 	lease := ledger.Lease{Holder: e.Self.Name, Peer: e.Self.Peer, Epoch: epoch}
 	value, err := ledger.Encode(lease)
@@ -262,7 +235,6 @@
 		Checks: []store.Check{{Key: ledger.LeaseKey, Version: row.Version}},
 		Puts: []store.Put{
 			{Key: ledger.LeaseKey, Value: value},
-			{Key: ledger.EpochKey, Value: ledger.EpochValue(epoch)},
 			{Key: ledger.SequenceKey, Value: ledger.SequenceValue(epoch, 0)},
 		},
 	})
@@ -275,7 +247,6 @@
 	defer e.mu.Unlock()
 	e.row = store.Row{Key: ledger.LeaseKey, Value: value, Version: version}
 	e.lease, e.changed, e.renewed = lease, time.Now(), begun
-	e.epoch = ledger.Epoch{Number: epoch, Version: version}
 	return Term{Epoch: epoch, Writer: ledger.NewWriter(e.Table, epoch, version), Renewed: e.lastRenewal}, nil
 }
 
--- a/internal/fakes/table.go
+++ b/internal/fakes/table.go
@@ -21,6 +21,10 @@
 		version int64
 		rows    map[string]store.Row
 		log     []Commit
+		// changed is closed and replaced at each commit.
+		changed chan struct{}
+		// compacted is the version before which the history is dropped.
+		compacted int64
 	}
 
 	// Commit is one line of the table's log: a row that a transaction wrote.
@@ -44,7 +48,7 @@
 )
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: make(map[string]store.Row)} }
+func NewTable() *Table { return &Table{rows: make(map[string]store.Row), changed: make(chan struct{})} }
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects { return &Objects{values: make(map[string][]byte)} }
@@ -102,6 +106,9 @@
 		if t.rows[c.Key].Version != c.Version {
 			conflict.Keys = append(conflict.Keys, c.Key)
 		}
+		if r, ok := t.rows[c.Key]; ok {
+			conflict.Rows = append(conflict.Rows, copyRow(r))
+		}
 	}
 	if len(conflict.Keys) > 0 {
 		return 0, &conflict
@@ -118,6 +125,8 @@
 		delete(t.rows, k)
 		t.log = append(t.log, Commit{At: now, Key: k, Version: t.version, Before: before, Deleted: true})
 	}
+	close(t.changed)
+	t.changed = make(chan struct{})
 	return t.version, nil
 }
 
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -73,9 +73,6 @@
 		Slack       float64       `json:"slack,omitempty"`
 		Objective   time.Duration `json:"objective,omitempty"`
 
-		// Epoch is the leader's epoch when the job was accepted.
-		Epoch int64 `json:"epoch"`
-
 		Cancelled bool `json:"cancelled,omitempty"`
 	}
 
--- a/internal/graph/keep.go
+++ b/internal/graph/keep.go
@@ -9,6 +9,17 @@
 	Kept struct {
 		Occurrences []KeptOccurrence `json:"occurrences,omitempty"`
 		Begun       bool             `json:"begun,omitempty"`
+		// Placed lists the runs that may be under way.
+		Placed []KeptRun `json:"placed,omitempty"`
+	}
+
+	// KeptRun is a run of a gang or of a task, and the workers it was placed on.
+	KeptRun struct {
+		Occurrence int      `json:"occurrence,omitempty"`
+		Step       int      `json:"step,omitempty"`
+		Members    []int    `json:"members"`
+		Run        int64    `json:"run"`
+		Workers    []string `json:"workers"`
 	}
 
 	// KeptOccurrence is the kept part of an occurrence.
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -300,6 +300,16 @@
 // Spec returns the step of the unit.
 func (u Unit) Spec() *Step { return &u.Progress.Job.Steps[u.Step] }
 
+// Holds reports whether u is a unit of p whose occurrence is due.
+func (p *Progress) Holds(u Unit) bool {
+	for _, id := range u.Tasks() {
+		if p.Task(id) == nil {
+			return false
+		}
+	}
+	return len(u.Members) > 0
+}
+
 // SetBusy marks the members as placed or free.
 func (u Unit) SetBusy(busy bool) {
 	s := &u.Progress.Occurrences[u.Occurrence].Steps[u.Step]
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -18,8 +18,9 @@
 	commit struct {
 		batch ledger.Batch
 		ended []*job
-		jobs  []*job
-		acks  []ack
+		// placed lists the placements that are in the batch.
+		placed []*placement
+		acks   []ack
 		// recorded lists workers whose rows are in the batch.
 		recorded []*worker
 		// removed lists workers whose rows can go.
@@ -45,7 +46,7 @@
 
 // flush stores what has changed, one transaction at a time.
 func (t *term) flush(now time.Time) {
-	if t.inFlight || t.since.IsZero() || now.Sub(t.since) < gather {
+	if t.inFlight || t.since.IsZero() || now.Before(t.gatherUntil()) {
 		return
 	}
 	c := t.gather(now)
@@ -57,6 +58,14 @@
 	t.agents.Go(func() { t.post(committed{c, t.commit(t.ctx, c.batch)}) })
 }
 
+// gatherUntil returns the instant at which the changes so far are stored.
+func (t *term) gatherUntil() time.Time {
+	if t.urgent {
+		return t.since.Add(gatherStart)
+	}
+	return t.since.Add(gather)
+}
+
 // gather collects dirty jobs and workers, as many as fit into a transaction.
 // Acknowledgements go with the transaction that has the last of them.
 func (t *term) gather(now time.Time) commit {
@@ -82,7 +91,7 @@
 		c.batch.Deletes = append(c.batch.Deletes, t.forgotten()...)
 		c.acks = t.pending.acks
 		t.pending = commit{}
-		t.since = time.Time{}
+		t.since, t.urgent = time.Time{}, false
 	}
 	return c
 }
@@ -102,14 +111,18 @@
 	p := j.progress
 	id := p.Job.ID
 	j.dirty = false
-	if p.Ended == "" || j.placed > 0 && p.Ended != graph.Completed {
-		value, err := ledger.Encode(p.Keep())
+	if p.Ended == "" || len(j.placed) > 0 && p.Ended != graph.Completed {
+		kept := p.Keep()
+		for pl := range j.placed {
+			kept.Placed = append(kept.Placed, pl.keep())
+			c.placed = append(c.placed, pl)
+		}
+		value, err := ledger.Encode(kept)
 		if err != nil {
 			t.Log.Write(event.CommitFailed, "job", string(id), "reason", err.Error())
 			return
 		}
 		c.batch.Puts = append(c.batch.Puts, store.Put{Key: ledger.ProgressKey(id), Value: value})
-		c.jobs = append(c.jobs, j)
 		return
 	}
 	value, err := ledger.Encode(ledger.Ended{Phase: p.Ended, Reason: p.Reason, Queue: p.Job.Queue, At: now})
@@ -165,6 +178,9 @@
 		t.Log.Write(event.JobOver, "job", string(p.Job.ID), "phase", string(p.Ended), "reason", p.Reason,
 			"age", time.Since(p.Job.Accepted).String())
 	}
+	for _, p := range c.placed {
+		p.recorded = true
+	}
 	for _, w := range c.recorded {
 		w.recorded, w.recording = true, false
 		t.reopen(w)
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -18,32 +17,25 @@
 }
 
 // applyJobs adds new jobs and marks cancelled ones.
-func (t *term) applyJobs(c jobChanges) error {
+func (t *term) applyJobs(c jobChanges) {
 	for _, ch := range c.Rows {
-		if ch.Deleted {
-			continue
-		}
-		if err := t.applyJob(ch.Row); err != nil {
-			return err
+		if !ch.Deleted {
+			t.applyJob(ch.Row)
 		}
 	}
-	return nil
 }
 
-func (t *term) applyJob(row store.Row) error {
+func (t *term) applyJob(row store.Row) {
 	var j graph.Job
 	if err := ledger.Decode(row, &j); err != nil {
 		t.Log.Write(event.RowUnread, "key", row.Key, "reason", err.Error())
-		return nil
-	}
-	if j.Epoch > t.Epoch {
-		return fmt.Errorf("job %s is of epoch %d: %w", j.ID, j.Epoch, ledger.ErrDeposed)
+		return
 	}
 	known, ok := t.jobs[j.ID]
 	if !ok {
 		if s, shown := t.statuses.Load(j.ID); shown && final(s.Phase) {
 			// A row read before the job's end was stored.
-			return nil
+			return
 		}
 		known = t.add(&j, graph.NewProgress(&j))
 	}
@@ -53,16 +45,14 @@
 	}
 	t.finish(known)
 	t.show(known)
-	return nil
 }
 
 // add takes a job into the term.
 func (t *term) add(j *graph.Job, p *graph.Progress) *job {
 	known := &job{
-		progress: p, avoid: make(map[stepKey]map[pool.WorkerID]bool), moves: make(map[stepKey]int),
+		progress: p, placed: make(map[*placement]bool), avoid: make(map[stepKey]map[pool.WorkerID]bool), moves: make(map[stepKey]int),
 		runs: (t.Epoch - 1) * runsPerEpoch,
 	}
-	known.old = j.Epoch < t.Epoch
 	known.due = p.Open(time.Now())
 	t.jobs[j.ID] = known
 	t.Log.Write(event.JobSeen, "job", string(j.ID), "queue", j.Queue, "workspace", j.Workspace,
@@ -85,10 +75,8 @@
 
 // stopJob stops all placements of a job.
 func (t *term) stopJob(j *job, reason string) {
-	for p := range t.placed {
-		if p.job == j {
-			t.stop(p, reason)
-		}
+	for p := range j.placed {
+		t.stop(p, reason)
 	}
 }
 
@@ -99,7 +87,7 @@
 	switch {
 	case p.Ended == "" && !p.Job.Cancelled:
 		return
-	case j.placed > 0:
+	case len(j.placed) > 0:
 		if p.Ended == graph.FailedJob {
 			t.stopJob(j, "failed")
 		}
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -37,9 +37,8 @@
 	if err != nil {
 		return err
 	}
-	t.loadJobs(jobs, t.decodeProgress(progress))
 	t.loadWorkers(workers)
-	t.settled = t.unread == 0
+	t.loadJobs(jobs, t.decodeProgress(progress))
 	t.Log.Write(event.StateLoaded, "jobs", len(t.jobs), "workers", t.unread)
 	return nil
 }
@@ -82,8 +81,52 @@
 			t.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
 			continue
 		}
-		t.add(&j, graph.Restore(&j, kept[j.ID]))
+		k := kept[j.ID]
+		known := t.add(&j, graph.Restore(&j, k))
+		for i := range k.Placed {
+			t.assume(known, &k.Placed[i])
+		}
+		if known.progress.Job.Cancelled {
+			t.stopJob(known, "cancelled")
+		}
+		t.finish(known)
+	}
+}
+
+// assume takes over a run that an earlier term has placed. Each of its members
+// may be running until its worker has answered: the answer shows it as running
+// or as ended, and otherwise it is lost, since the worker refuses the former
+// leader's orders from then on.
+func (t *term) assume(j *job, k *graph.KeptRun) {
+	p := &placement{job: j, run: k.Run, recorded: true}
+	p.Unit = graph.Unit{Progress: j.progress, Occurrence: k.Occurrence, Step: k.Step, Members: k.Members}
+	p.Since = t.begun
+	if !j.progress.Holds(p.Unit) || len(k.Workers) != len(k.Members) {
+		t.Log.Write(event.RowUnread, "key", ledger.ProgressKey(j.progress.Job.ID), "reason", "a run does not fit the job")
+		return
 	}
+	for i, id := range p.Unit.Tasks() {
+		w := t.workers[pool.WorkerID(k.Workers[i])]
+		if w == nil || j.progress.Task(id).Done || t.members[id] != nil {
+			// The worker's row goes only when nothing runs there.
+			continue
+		}
+		t.assumeMember(p, id, w)
+	}
+	if p.left > 0 {
+		p.Unit.SetBusy(true)
+		t.placed[p], j.placed[p] = true, true
+	}
+}
+
+func (t *term) assumeMember(p *placement, id graph.TaskID, w *worker) {
+	m := &member{task: id, place: p, worker: w, sent: true, confirmed: t.begun, moved: t.begun}
+	entry := t.pool.Worker(w.info.ID)
+	entry.Occupied = entry.Occupied.Plus(p.Unit.Spec().Room())
+	p.members, p.Workers = append(p.members, m), append(p.Workers, entry)
+	p.left++
+	t.members[id], w.members[id] = m, m
+	w.agent.Expect(len(w.members))
 }
 
 func (t *term) loadWorkers(c store.Changes) {
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -18,8 +18,8 @@
 		run     int64
 		members []*member
 		left    int
-		// adopted placements were begun in an earlier term.
-		adopted bool
+		// recorded placements are stored, so that a successor knows of them.
+		recorded bool
 	}
 
 	// member is a task of a placement.
@@ -31,8 +31,10 @@
 		// on the worker's reports must list the run.
 		sent      bool
 		confirmed time.Time
-		percent   int
-		moved     time.Time // when percent last changed
+		// life is the number of the worker's life that the start was sent to.
+		life    int64
+		percent int
+		moved   time.Time // when percent last changed
 	}
 )
 
@@ -40,7 +42,6 @@
 func (t *term) place(now time.Time, s plan.Start) {
 	j := t.jobs[s.Unit.Progress.Job.ID]
 	j.runs++
-	j.placed++
 	p := &placement{job: j, run: j.runs, left: len(s.Unit.Members)}
 	p.Unit, p.Workers, p.Moves = s.Unit, s.Workers, j.moves[keyOf(s.Unit)]
 	s.Unit.SetBusy(true)
@@ -51,8 +52,9 @@
 		t.members[id] = m
 		w.members[id] = m
 	}
-	t.placed[p] = true
-	t.waitRoom[p] = true
+	t.placed[p], j.placed[p], t.waitRoom[p] = true, true, true
+	t.touch(j)
+	t.urgent = true
 	t.Log.Write(event.UnitPlaced, "job", string(j.progress.Job.ID), "step", s.Unit.Step, "occurrence", s.Unit.Occurrence,
 		"tasks", len(p.members), "run", p.run, "worker", string(s.Workers[0].ID), "rack", s.Workers[0].Rack,
 		"near", s.Near, "reason", s.Reason, "age", now.Sub(j.progress.Job.Due(s.Unit.Occurrence)).String())
@@ -60,10 +62,32 @@
 
 func keyOf(u graph.Unit) stepKey { return stepKey{u.Occurrence, u.Step} }
 
-// launch starts the placements whose room is free.
+// keep returns what is stored of a placement.
+func (p *placement) keep() graph.KeptRun {
+	k := graph.KeptRun{Occurrence: p.Unit.Occurrence, Step: p.Unit.Step, Members: p.Unit.Members, Run: p.run}
+	for _, w := range p.Workers {
+		k.Workers = append(k.Workers, string(w.ID))
+	}
+	return k
+}
+
+// withdraw takes back placements that wait for room on a worker that has been
+// closed in the meantime.
+func (t *term) withdraw() {
+	for p := range t.waitRoom {
+		for _, w := range p.Workers {
+			if w.Closed {
+				t.stop(p, "closed")
+				break
+			}
+		}
+	}
+}
+
+// launch starts the placements that are stored and whose room is free.
 func (t *term) launch(now time.Time) {
 	for p := range t.waitRoom {
-		if !t.hasRoom(p) {
+		if !p.recorded || !t.hasRoom(p) {
 			continue
 		}
 		delete(t.waitRoom, p)
@@ -96,7 +120,7 @@
 		w.Occupied = w.Occupied.Plus(room)
 		m.sent, m.moved = true, now
 		m.worker.agent.Expect(len(m.worker.members))
-		m.worker.agent.Start(t.ctx, agent.Order{
+		m.life = m.worker.agent.Start(t.ctx, agent.Order{
 			Task: m.task, Run: p.run, Spec: p.job.progress.Job.Spec, Saved: p.job.progress.Saved(m.task),
 		})
 	}
@@ -218,8 +242,8 @@
 func (t *term) over(p *placement) {
 	delete(t.placed, p)
 	delete(t.waitRoom, p)
+	delete(p.job.placed, p)
 	p.Unit.SetBusy(false)
-	p.job.placed--
 	// The members of a gang may end after the end of their job is stored.
 	if t.jobs[p.job.progress.Job.ID] == p.job {
 		t.finish(p.job)
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -8,7 +8,6 @@
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/ledger"
-	"github.com/baobabquay/baobabquay/internal/plan"
 )
 
 const (
@@ -40,9 +39,6 @@
 		if m := t.memberOf(w, e.Order); m != nil {
 			m.confirmed = e.At
 		}
-	case agent.Reborn:
-		t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members))
-		t.loseAll(w, "reborn")
 	case agent.Silent:
 		if !w.silent {
 			w.silent = true
@@ -102,23 +98,21 @@
 	if w.silent {
 		t.Log.Write(event.WorkerBack, "worker", string(w.info.ID))
 	}
-	first := !w.answered
 	w.answered, w.silent = true, false
 	running := make(map[graph.TaskID]int64, len(e.Report.Running))
 	for _, r := range e.Report.Running {
 		running[r.Task] = r.Run
 	}
 	t.applyEnds(w, e.Report)
-	if first {
-		t.adopt(w, e.Report)
-	}
 	for _, r := range e.Report.Running {
 		t.applyRunning(w, r, e.At)
 	}
-	t.findMissing(w, running, e.Asked)
-	if first {
-		t.settleWorker(w)
+	if e.Life > w.life {
+		w.life = e.Life
+		t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members), "running", len(running))
 	}
+	t.findMissing(w, running, e.Asked)
+	t.settleWorker(w)
 	t.reopen(w)
 	if !w.listed && len(w.members) == 0 && !w.inherited && t.listedOnce {
 		t.drop(w, "unlisted")
@@ -154,6 +148,10 @@
 	}
 	j.progress.Open(time.Now())
 	j.progress.Begun = true
+	if m := t.members[end.Task]; m != nil && end.How == graph.Done {
+		// A run that was given up for lost had ended well.
+		t.stop(m.place, "done before")
+	}
 	if j.progress.End(end.Task, end.Run, end.How, end.Saved) {
 		t.touch(j)
 		t.Log.Write(event.TaskEnded, "task", end.Task.String(), "run", end.Run, "how", string(end.How), "earlier", true)
@@ -186,10 +184,12 @@
 }
 
 // findMissing ends members that the worker must list and does not: the report
-// was asked for after the worker had taken the order.
+// was asked for after the worker had taken the order, or the worker has started
+// again since and refuses the orders to its former life.
 func (t *term) findMissing(w *worker, running map[graph.TaskID]int64, asked time.Time) {
 	for id, m := range w.members {
-		if m.confirmed.IsZero() || !m.confirmed.Before(asked) {
+		sure := !m.confirmed.IsZero() && m.confirmed.Before(asked)
+		if !m.sent || !sure && m.life >= w.life {
 			continue
 		}
 		if run, ok := running[id]; ok && run == m.place.run {
@@ -200,79 +200,6 @@
 	}
 }
 
-// adopt takes over the runs of an earlier term.
-func (t *term) adopt(w *worker, r agent.Report) {
-	for _, run := range r.Running {
-		j, ok := t.jobs[run.Task.Job]
-		if !ok || t.members[run.Task] != nil {
-			continue
-		}
-		j.progress.Open(time.Now())
-		task := j.progress.Task(run.Task)
-		if task == nil || task.Done || j.progress.Ended != "" {
-			continue
-		}
-		t.adoptRun(j, w, run)
-	}
-}
-
-// adoptRun makes a run a member of a placement. Members of one gang with the
-// same run number share a placement, which is complete when all have been
-// found.
-func (t *term) adoptRun(j *job, w *worker, run agent.Run) {
-	j.progress.Begun = true
-	p := t.adoptedPlacement(j, run)
-	m := &member{
-		task: run.Task, place: p, worker: w, sent: true, confirmed: time.Now(), percent: run.Percent, moved: time.Now(),
-	}
-	p.members = append(p.members, m)
-	p.left++
-	entry := t.pool.Worker(w.info.ID)
-	p.Workers = append(p.Workers, entry)
-	entry.Occupied = entry.Occupied.Plus(p.Unit.Spec().Room())
-	t.members[run.Task] = m
-	w.members[run.Task] = m
-	w.agent.Expect(len(w.members))
-	j.progress.Save(run.Task, run.Saved)
-	if j.progress.Job.Cancelled {
-		p.Stopping = false
-		t.stop(p, "cancelled")
-	}
-}
-
-func (t *term) adoptedPlacement(j *job, run agent.Run) *placement {
-	step := &j.progress.Job.Steps[run.Task.Step]
-	if step.Gang {
-		for p := range t.placed {
-			if p.job == j && p.run == run.Run && p.Unit.Step == run.Task.Step && p.Unit.Occurrence == run.Task.Occurrence {
-				return p
-			}
-		}
-	}
-	u := graph.Unit{Progress: j.progress, Occurrence: run.Task.Occurrence, Step: run.Task.Step, Members: []int{run.Task.Index}}
-	if step.Gang {
-		u.Members = make([]int, step.Count)
-		for i := range u.Members {
-			u.Members[i] = i
-		}
-	}
-	p := &placement{Placed: plan.Placed{Unit: u, Since: time.Now()}, job: j, run: run.Run, adopted: true}
-	u.SetBusy(true)
-	t.placed[p] = true
-	j.placed++
-	return p
-}
-
-// stopIncomplete stops adopted gangs of which members are missing once all
-// workers have been read.
-func (t *term) stopIncomplete() {
-	for p := range t.placed {
-		if p.adopted && len(p.members) < len(p.Unit.Members) {
-			t.stop(p, "incomplete")
-		}
-	}
-}
-
 // findStalls moves tasks that make no progress.
 func (t *term) findStalls(now time.Time) {
 	for p := range t.placed {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -62,11 +62,8 @@
 	// job is a live job of the term.
 	job struct {
 		progress *graph.Progress
-		// old jobs were accepted in an earlier epoch, so that a former leader
-		// may have started them.
-		old bool
-		// placed is the number of its placements.
-		placed int
+		// placed holds its placements.
+		placed map[*placement]bool
 		// due is the instant of the next occurrence, zero for none.
 		due time.Time
 		// avoid lists the workers on which a step's tasks have failed.
@@ -90,6 +87,7 @@
 		elect.Term
 		ctx   context.Context
 		inbox chan any
+		begun time.Time
 
 		jobs    map[graph.ID]*job
 		workers map[pool.WorkerID]*worker
@@ -99,13 +97,13 @@
 		waitRoom map[*placement]bool
 		placed   map[*placement]bool
 
-		unread  int // workers of earlier terms that have not answered
-		settled bool
+		unread int // workers of earlier terms that have not answered
 		// listedOnce reports whether the platform's list has been read.
 		listedOnce bool
 		pending    commit
 		inFlight   bool
 		since      time.Time // when the first unstored change was made
+		urgent     bool      // whether a start waits for it
 		waits      string    // the last reported counts of waiting units
 		agents     sync.WaitGroup
 	}
@@ -119,8 +117,10 @@
 	// tick is the longest time between two decisions while something waits or
 	// runs: timed decisions are patience, bars and stalls.
 	tick = 250 * time.Millisecond
-	// gather is how long changes wait for others to share their transaction.
-	gather = 25 * time.Millisecond
+	// gather is how long changes wait for others to share their transaction,
+	// and gatherStart how long a start waits.
+	gather      = 25 * time.Millisecond
+	gatherStart = 2 * time.Millisecond
 	// statusParts is the number of locks over the shown phases.
 	statusParts = 16
 	// runsPerEpoch bounds the starts of one job in one term.
@@ -163,7 +163,7 @@
 func (s *Scheduler) Run(ctx context.Context, e elect.Term) error {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &term{
-		Scheduler: s, Term: e, ctx: ctx, inbox: make(chan any, inboxSize),
+		Scheduler: s, Term: e, ctx: ctx, begun: time.Now(), inbox: make(chan any, inboxSize),
 		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), pool: pool.New(),
 		members: make(map[graph.TaskID]*member), waitRoom: make(map[*placement]bool), placed: make(map[*placement]bool),
 	}
@@ -207,6 +207,7 @@
 		t.openDue(now)
 		t.findStalls(now)
 		t.decide(now)
+		t.withdraw()
 		t.launch(now)
 		t.publishWaiting()
 		t.flush(now)
@@ -234,7 +235,7 @@
 func (t *term) apply(ev any) error {
 	switch e := ev.(type) {
 	case jobChanges:
-		return t.applyJobs(e)
+		t.applyJobs(e)
 	case workerChanges:
 		t.applyWorkers(e)
 	case agent.Event:
@@ -253,7 +254,7 @@
 		wait = tick
 	}
 	if !t.since.IsZero() && !t.inFlight {
-		wait = min(wait, max(gather-now.Sub(t.since), time.Millisecond))
+		wait = min(wait, max(t.gatherUntil().Sub(now), time.Millisecond))
 	}
 	for _, j := range t.jobs {
 		if !j.due.IsZero() {
@@ -296,9 +297,6 @@
 func (t *term) ready() []graph.Unit {
 	var units []graph.Unit
 	for _, j := range t.jobs {
-		if j.old && !t.settled {
-			continue
-		}
 		units = append(units, j.progress.Ready()...)
 	}
 	return units
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -38,6 +38,8 @@
 		// answered nor ended.
 		inherited bool
 		members   map[graph.TaskID]*member
+		// life is the number of the worker's life that reported last.
+		life int64
 		// failures counts the failed runs since the last good one.
 		failures int
 		bars     int
@@ -192,7 +194,7 @@
 	}
 }
 
-// settleWorker notes that nothing unknown runs on a worker of an earlier term.
+// settleWorker notes that the runs on a worker of an earlier term are known.
 func (t *term) settleWorker(w *worker) {
 	if !w.inherited {
 		return
@@ -200,8 +202,6 @@
 	w.inherited = false
 	t.unread--
 	if t.unread == 0 {
-		t.settled = true
-		t.stopIncomplete()
 		t.Log.Write(event.StateRead, "jobs", len(t.jobs), "workers", len(t.workers), "runs", len(t.members))
 	}
 }
--- a/internal/ledger/accept.go
+++ b/internal/ledger/accept.go
@@ -15,7 +15,6 @@
 	// safe for concurrent use.
 	Ledger struct {
 		table store.Table
-		epoch func() Epoch
 	}
 
 	// Outcome is the result of a change of a job.
@@ -40,26 +39,27 @@
 // 4 ms, and a caller waits at most seconds.
 const retryPause = 120 * time.Millisecond
 
-// New returns a ledger on the table. The function returns the epoch as last
-// seen, which may be out of date.
-func New(t store.Table, epoch func() Epoch) *Ledger { return &Ledger{table: t, epoch: epoch} }
+// New returns a ledger on the table.
+func New(t store.Table) *Ledger { return &Ledger{table: t} }
 
 // Accept stores a new job. It tries again until ctx ends, except when the store
 // has certainly not taken the job: then it returns NotStored with the error.
 // A job whose identifier is known already counts as stored.
 func (l *Ledger) Accept(ctx context.Context, j *graph.Job) (Outcome, error) {
-	epoch, unsure := l.epoch(), false
+	value, err := Encode(j)
+	if err != nil {
+		return NotStored, fmt.Errorf("accept job %s: %w", j.ID, err)
+	}
+	txn := store.Txn{
+		Checks: []store.Check{{Key: JobKey(j.ID)}, {Key: EndedKey(j.ID)}},
+		Puts:   []store.Put{{Key: JobKey(j.ID), Value: value}},
+	}
+	unsure := false
 	for {
-		err := l.insert(ctx, j, epoch)
-		newer, known := conflictingEpoch(err, epoch)
+		_, err := l.table.Commit(ctx, txn)
 		switch {
-		case err == nil:
-			return Stored, nil
-		case known:
-			epoch = newer
-			continue
-		case store.IsConflict(err):
-			// The job, or its end, is stored already.
+		case err == nil, store.IsConflict(err):
+			// A conflict means that the job, or its end, is stored already.
 			return Stored, nil
 		case errors.Is(err, store.ErrUncertain):
 			unsure = true
@@ -72,39 +72,6 @@
 	}
 }
 
-// insert stores a job under an epoch.
-func (l *Ledger) insert(ctx context.Context, j *graph.Job, epoch Epoch) error {
-	j.Epoch = epoch.Number
-	value, err := Encode(j)
-	if err != nil {
-		return err
-	}
-	_, err = l.table.Commit(ctx, store.Txn{
-		Checks: []store.Check{
-			{Key: JobKey(j.ID)}, {Key: EndedKey(j.ID)}, {Key: EpochKey, Version: epoch.Version},
-		},
-		Puts: []store.Put{{Key: JobKey(j.ID), Value: value}},
-	})
-	return err
-}
-
-// conflictingEpoch returns the epoch that is in force, if err is a conflict on
-// the epoch alone.
-func conflictingEpoch(err error, used Epoch) (Epoch, bool) {
-	var c *store.ConflictError
-	if !errors.As(err, &c) || len(c.Keys) != 1 || c.Keys[0] != EpochKey {
-		return Epoch{}, false
-	}
-	for _, row := range c.Rows {
-		if row.Key != EpochKey {
-			continue
-		}
-		epoch, err := DecodeEpoch(row)
-		return epoch, err == nil && epoch.Version != used.Version
-	}
-	return Epoch{}, false
-}
-
 // Cancel marks a job as cancelled. It tries again until ctx ends.
 func (l *Ledger) Cancel(ctx context.Context, id graph.ID) (Outcome, error) {
 	for {
--- a/internal/ledger/doc.go
+++ b/internal/ledger/doc.go
@@ -9,20 +9,16 @@
 // # Rows
 //
 //	jobs/ID             the job as accepted; written by the accepting instance
-//	progress/ID         the done tasks, failures and checkpoints; by the leader
+//	progress/ID         the placed runs, done tasks, failures and checkpoints; by
+//	                    the leader, before the runs are started
 //	ended/ID            the final phase, in place of the two rows above
 //	workers/ID          a worker that may run tasks; by the leader
 //	lead/lease          the leader, its address and epoch; renewed by it
-//	lead/epoch          the epoch, written when a term begins
 //	commits/sequence    the number of the leader's last transaction
 //
-// A job is stored under a check of the epoch's row and names that epoch, so
-// that no leader of an earlier epoch ever starts it: it finds out that its
-// term is over.
-//
 // # Usage
 //
-//	l := ledger.New(table, elector.Epoch)
+//	l := ledger.New(table)
 //	outcome, err := l.Accept(ctx, job)
 //	w := ledger.NewWriter(table, epoch, version)
 //	err = w.Commit(ctx, ledger.Batch{Puts: puts, Deletes: keys})
--- a/internal/ledger/row.go
+++ b/internal/ledger/row.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/graph"
@@ -29,12 +28,6 @@
 		Rack    string         `json:"rack"`
 	}
 
-	// Epoch is the number of a term and the version of its row.
-	Epoch struct {
-		Number  int64
-		Version int64
-	}
-
 	// Lease is the row of the leader.
 	Lease struct {
 		Holder string         `json:"holder"`
@@ -55,10 +48,8 @@
 	WorkerTable   = "workers"
 	LeadTable     = "lead"
 
-	// LeaseKey is the row of the leader, EpochKey that of its epoch, which is
-	// written only when a term begins, and SequenceKey that of its transactions.
+	// LeaseKey is the row of the leader, SequenceKey that of its transactions.
 	LeaseKey    = LeadTable + "/lease"
-	EpochKey    = LeadTable + "/epoch"
 	SequenceKey = "commits/sequence"
 )
 
@@ -74,18 +65,6 @@
 // WorkerKey returns the key of a worker.
 func WorkerKey(id string) string { return WorkerTable + "/" + id }
 
-// EpochValue returns the value of the row of the epoch.
-func EpochValue(number int64) []byte { return strconv.AppendInt(nil, number, 10) }
-
-// DecodeEpoch reads the row of the epoch.
-func DecodeEpoch(row store.Row) (Epoch, error) {
-	n, err := strconv.ParseInt(string(row.Value), 10, 64)
-	if err != nil {
-		return Epoch{}, fmt.Errorf("decode row %s: %w", row.Key, err)
-	}
-	return Epoch{Number: n, Version: row.Version}, nil
-}
-
 // Encode returns the value of a row.
 func Encode(v any) ([]byte, error) {
 	b, err := json.Marshal(v)
--- a/internal/node/app.go
+++ b/internal/node/app.go
@@ -105,7 +105,7 @@
 	p.elector = elect.New(elect.Deps{Table: table, Feed: feed, Self: p.self, Lead: p.scheduler.Run, Log: log})
 	p.peers = newPeers(p.elector, p.scheduler)
 	p.desk = accept.New(accept.Deps{
-		Queues: p.queues, Ledger: ledger.New(table, p.elector.Epoch), Log: log,
+		Queues: p.queues, Ledger: ledger.New(table), Log: log,
 		Leader: accept.Leader{Phase: p.peers.phase, Queue: p.peers.queue},
 	})
 	return p
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -152,6 +152,9 @@
 		return cmp.Or(
 			cmp.Compare(a.Progress.Job.Priority, b.Progress.Job.Priority),
 			ka.deadline.Compare(kb.deadline),
+			cmp.Compare(a.Progress.Job.ID, b.Progress.Job.ID),
+			cmp.Compare(a.Occurrence, b.Occurrence),
+			cmp.Compare(a.Step, b.Step),
 		)
 	})
 }
--- /dev/null
+++ b/internal/trial/path_test.go
@@ -0,0 +1,148 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// run runs f in a world of its own on a paused clock.
+func run(t *testing.T, f func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.WithValue(t.Context(), beginKey{}, time.Now()))
+		w := newWorld(t, ctx)
+		f(w)
+		if os.Getenv("TRIAL_LOG") != "" {
+			w.mu.Lock()
+			t.Log("\n" + strings.Join(w.lines, "\n"))
+			w.mu.Unlock()
+		}
+		cancel()
+		for _, n := range w.nodes {
+			n.life().done.Wait()
+		}
+	})
+}
+
+// The jobs of the script.
+const (
+	wide   graph.ID = "aaaaaaaaaaaaaaaa"
+	gang   graph.ID = "bbbbbbbbbbbbbbbb"
+	urgent graph.ID = "cccccccccccccccc"
+	dropt  graph.ID = "dddddddddddddddd"
+	broken graph.ID = "ffffffffffffffff"
+	late   graph.ID = "eeeeeeeeeeeeeeee"
+)
+
+func gpu(n int64) graph.Demand { return graph.Demand{Accelerators: n} }
+
+// script submits jobs of all kinds over four seconds.
+func (w *world) script() {
+	go w.submit(0, "normal", "ks", wide, graph.Step{Count: 6, Demand: gpu(2), Estimate: 2 * time.Second},
+		graph.Step{Count: 3, Demand: gpu(1), After: []int{0}, Estimate: time.Second})
+	go w.submit(1, "normal", "ks", gang, graph.Step{Count: 4, Demand: gpu(4), Gang: true, SameRack: true, Estimate: 2 * time.Second})
+	time.Sleep(700 * time.Millisecond)
+	go w.submit(2, "urgent", "kn", urgent, graph.Step{Count: 2, Demand: gpu(4), Gang: true, SameRack: true, Estimate: 2 * time.Second})
+	go w.submit(0, "normal", "kn", dropt, graph.Step{Count: 8, Demand: gpu(1), Estimate: 5 * time.Second})
+	go w.submit(1, "normal", "kn", broken, graph.Step{Count: 1, Demand: gpu(1), Estimate: time.Second})
+	time.Sleep(1300 * time.Millisecond)
+	go w.cancel(0, "normal", "kn", dropt)
+	time.Sleep(2 * time.Second)
+	go w.submit(2, "urgent", "kn", late, graph.Step{Count: 2, Demand: gpu(2), Gang: true, Estimate: time.Second})
+}
+
+// phases renders the final state of the script's jobs.
+func (w *world) phases() string {
+	var b strings.Builder
+	for _, j := range []struct {
+		queue, key string
+		id         graph.ID
+	}{
+		{"normal", "ks", wide}, {"normal", "ks", gang}, {"urgent", "kn", urgent}, {"normal", "kn", dropt},
+		{"normal", "kn", broken}, {"urgent", "kn", late},
+	} {
+		fmt.Fprintf(&b, "%s %s\n", j.id, w.phase(j.queue, j.key, j.id))
+	}
+	return b.String()
+}
+
+// TestPath guards against a break anywhere between the acceptance of a job and
+// its end on a day without faults.
+func TestPath(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.script()
+		time.Sleep(16 * time.Second)
+		golden.Assert(t, w.phases()+w.runTable(), "path.golden")
+		assert.DeepEqual(t, w.check(), []string(nil))
+	})
+}
+
+// TestLeaderKilled guards against lost or doubled work when the leader ends
+// without a word while gangs run.
+func TestLeaderKilled(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.script()
+		w.leader().kill()
+		time.Sleep(20 * time.Second)
+		golden.Assert(t, w.phases(), "phases.golden")
+		assert.DeepEqual(t, w.check(), []string(nil))
+	})
+}
+
+// TestLeaderCutOff guards against two leaders that both start work: the former
+// one still reaches the workers and not the store.
+func TestLeaderCutOff(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		l := w.leader().life().link
+		l.mu.Lock()
+		l.noStore = time.Now().Add(8 * time.Second)
+		l.mu.Unlock()
+		w.script()
+		time.Sleep(24 * time.Second)
+		golden.Assert(t, w.phases(), "phases.golden")
+		assert.DeepEqual(t, w.check(), []string(nil))
+	})
+}
+
+// TestSilentWorkerLapses guards against leases of a worker that has left being
+// granted again with each failed call, so that its tasks never start elsewhere.
+func TestSilentWorkerLapses(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.script()
+		w.machines.Crash("w1")
+		time.Sleep(24 * time.Second)
+		golden.Assert(t, w.phases(), "phases.golden")
+		assert.DeepEqual(t, w.check(), []string(nil))
+	})
+}
+
+// TestOneTermAtATime guards against candidates that take a fresh lease because
+// they were woken for the stale one before it.
+func TestOneTermAtATime(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.leader().stop()
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		terms := 0
+		for _, l := range w.lines {
+			if strings.Contains(l, `"termBegun"`) {
+				terms++
+			}
+		}
+		assert.Equal(t, terms, 2)
+	})
+}
