Count only the room of tasks that have not ended as room that will be left

A new leader had heard of the end of one member of a gang, whose room was free, and then stopped the gang for the urgent one; the ended member's room counted again as leaving. Change: a placement lists a worker once for each task that has not ended; its row as well.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,6 +46,8 @@
 		Epoch int64
 		// Renewed returns the instant of the leader's last renewal.
 		Renewed func() time.Time
+		// Go runs an order in a goroutine that the scheduler waits for.
+		Go func(func())
 		// Emit passes an event on. It may block until the scheduler takes it.
 		Emit func(Event)
 		Log  event.Log
@@ -70,7 +72,6 @@
 		expects int
 		silent  int
 		wake    chan struct{}
-		orders  sync.WaitGroup
 	}
 )
 
@@ -181,7 +182,6 @@
 
 // Run calls the worker until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
-	defer a.orders.Wait()
 	first := true
 	for ctx.Err() == nil {
 		wait, call := a.next(first)
@@ -347,7 +347,7 @@
 	a.mu.Lock()
 	fence, life := a.fence(), a.lives
 	a.mu.Unlock()
-	a.orders.Go(func() { a.start(ctx, o, fence) })
+	a.Go(func() { a.start(ctx, o, fence) })
 	return life
 }
 
@@ -399,7 +399,7 @@
 // Stop stops a run in a goroutine of its own. It tries until the worker
 // answers or ctx ends; the run's end comes with a report.
 func (a *Agent) Stop(ctx context.Context, o Order) {
-	a.orders.Go(func() { a.stop(ctx, o) })
+	a.Go(func() { a.stop(ctx, o) })
 }
 
 func (a *Agent) stop(ctx context.Context, o Order) {
--- a/internal/fakes/feed.go
+++ b/internal/fakes/feed.go
@@ -35,11 +35,12 @@
 }
 
 func (t *Table) read(table string) store.Changes {
-	rows := t.scan(table + "/")
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	// The rows and the version must be of one moment, or a follower misses what
+	// is written between them.
 	c := store.Changes{Version: t.version}
-	for _, r := range rows {
+	for _, r := range t.rowsOf(table + "/") {
 		c.Rows = append(c.Rows, store.Change{Row: r})
 	}
 	return c
--- a/internal/fakes/table.go
+++ b/internal/fakes/table.go
@@ -88,6 +88,11 @@
 func (t *Table) scan(prefix string) []store.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.rowsOf(prefix)
+}
+
+// rowsOf returns the rows whose keys have the prefix. The lock is held.
+func (t *Table) rowsOf(prefix string) []store.Row {
 	var rows []store.Row
 	for k, r := range t.rows {
 		if strings.HasPrefix(k, prefix) {
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -135,14 +135,12 @@
 func (p *Progress) readyOf(units []Unit, o *Occurrence, step int) []Unit {
 	s := &o.Steps[step]
 	if p.Job.Steps[step].Gang {
-		members := make([]int, len(s.Tasks))
 		for i := range s.Tasks {
 			if s.Tasks[i].Busy || s.Tasks[i].Done {
 				return units
 			}
-			members[i] = i
 		}
-		return append(units, Unit{Progress: p, Occurrence: o.Number, Step: step, Members: members})
+		return append(units, Unit{Progress: p, Occurrence: o.Number, Step: step, Members: p.Gang(step)})
 	}
 	for i := range s.Tasks {
 		if !s.Tasks[i].Busy && !s.Tasks[i].Done {
@@ -152,6 +150,15 @@
 	return units
 }
 
+// Gang returns the indices of all tasks of a step.
+func (p *Progress) Gang(step int) []int {
+	members := make([]int, p.Job.Steps[step].Count)
+	for i := range members {
+		members[i] = i
+	}
+	return members
+}
+
 // Task returns the progress of a task, or nil if the job has no such task or
 // its occurrence is not due yet.
 func (p *Progress) Task(t TaskID) *Task {
--- a/internal/graph/progress_test.go
+++ b/internal/graph/progress_test.go
@@ -68,11 +68,7 @@
 }
 
 func (p *Progress) occurrenceUnit(step int) Unit {
-	members := make([]int, p.Job.Steps[step].Count)
-	for i := range members {
-		members[i] = i
-	}
-	return Unit{Progress: p, Step: step, Members: members}
+	return Unit{Progress: p, Step: step, Members: p.Gang(step)}
 }
 
 // TestRestoreExhausted guards against a new leader that starts a task again
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -113,9 +113,17 @@
 		}
 		t.assumeMember(p, id, w)
 	}
-	if p.left > 0 {
-		p.Unit.SetBusy(true)
-		t.placed[p], j.placed[p] = true, true
+	if p.left == 0 {
+		return
+	}
+	if step := p.Unit.Spec(); step.Gang {
+		p.Unit.Members = j.progress.Gang(k.Step)
+	}
+	p.Unit.SetBusy(true)
+	t.placed[p], j.placed[p] = true, true
+	if p.left < len(p.Unit.Members) {
+		// A member has ended, and not well, or the gang would be done.
+		t.stop(p, "gang")
 	}
 }
 
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/agent"
@@ -33,6 +34,7 @@
 		confirmed time.Time
 		// life is the number of the worker's life that the start was sent to.
 		life    int64
+		over    bool
 		percent int
 		moved   time.Time // when percent last changed
 	}
@@ -64,9 +66,13 @@
 
 // keep returns what is stored of a placement.
 func (p *placement) keep() graph.KeptRun {
-	k := graph.KeptRun{Occurrence: p.Unit.Occurrence, Step: p.Unit.Step, Members: p.Unit.Members, Run: p.run}
-	for _, w := range p.Workers {
-		k.Workers = append(k.Workers, string(w.ID))
+	k := graph.KeptRun{Occurrence: p.Unit.Occurrence, Step: p.Unit.Step, Run: p.run}
+	for _, m := range p.members {
+		if m.over {
+			continue
+		}
+		k.Members = append(k.Members, m.task.Index)
+		k.Workers = append(k.Workers, string(m.worker.info.ID))
 	}
 	return k
 }
@@ -114,8 +120,8 @@
 func (t *term) order(p *placement, now time.Time) {
 	room := p.Unit.Spec().Room()
 	p.Since = now
-	for i, m := range p.members {
-		w := p.Workers[i]
+	for _, m := range p.members {
+		w := t.pool.Worker(m.worker.info.ID)
 		w.Reserved = w.Reserved.Minus(room)
 		w.Occupied = w.Occupied.Plus(room)
 		m.sent, m.moved = true, now
@@ -190,6 +196,7 @@
 	if t.members[m.task] != m {
 		return
 	}
+	m.over = true
 	delete(t.members, m.task)
 	delete(m.worker.members, m.task)
 	m.worker.agent.Expect(len(m.worker.members))
@@ -223,8 +230,8 @@
 func (t *term) release(m *member) {
 	p := m.place
 	w := t.pool.Worker(m.worker.info.ID)
-	if w == nil {
-		return
+	if i := slices.Index(p.Workers, w); i >= 0 {
+		p.Workers = slices.Delete(p.Workers, i, i+1)
 	}
 	room := p.Unit.Spec().Room()
 	switch {
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -120,7 +120,7 @@
 	t.workers[info.ID] = w
 	a := agent.New(agent.Deps{
 		Calls: t.Calls, Target: agent.Target{ID: info.ID, Address: info.Address}, Limits: t.Limits,
-		Epoch: t.Epoch, Renewed: t.Renewed, Emit: func(e agent.Event) { t.post(e) }, Log: t.Log,
+		Epoch: t.Epoch, Renewed: t.Renewed, Go: t.agents.Go, Emit: func(e agent.Event) { t.post(e) }, Log: t.Log,
 	})
 	ctx, stop := withCancel(t.ctx)
 	w.agent = a
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -12,7 +12,8 @@
 type (
 	// Placed is a unit that has workers.
 	Placed struct {
-		Unit    graph.Unit
+		Unit graph.Unit
+		// Workers has one entry for each task that has not ended.
 		Workers []*pool.Worker
 		// Since is the instant at which its tasks were told to start, zero
 		// while the unit waits for room.
--- a/internal/trial/path_test.go
+++ b/internal/trial/path_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -146,3 +147,41 @@
 		assert.Equal(t, terms, 2)
 	})
 }
+
+// TestRoomOfEndedMembers guards against an urgent gang that is placed in room
+// which is not there. A new leader hears of the end of one member of a gang
+// before the others; the member's room is free then and must not be counted
+// again as room that the rest of the gang will leave.
+func TestRoomOfEndedMembers(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		const first, second graph.ID = "1111111111111111", "2222222222222222"
+		whole := graph.Step{Count: 2, Demand: gpu(8), Gang: true, SameRack: true, Estimate: time.Second}
+		go w.submit(0, "normal", "ks", first, whole)
+		time.Sleep(time.Second)
+		w.table.Faults.Set(fakes.Fault{Kind: fakes.Down})
+		time.Sleep(time.Second) // the gang ends, and its end cannot be stored
+		w.restart(w.leader().life().link, time.Second)
+		w.table.Faults.Clear()
+		contacts := 0
+		w.mu.Lock()
+		w.hook = func(_ *link, s step) fault {
+			if s != stepContact {
+				return fault{}
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if contacts++; contacts%2 == 0 {
+				return fault{slow: 300 * time.Millisecond}
+			}
+			return fault{}
+		}
+		w.mu.Unlock()
+		// Both racks are in use, so that room has to be made.
+		go w.submit(1, "normal", "ks", "3333333333333333", whole)
+		go w.submit(1, "urgent", "kn", second, whole)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, w.phase("urgent", "kn", second), "completed")
+		assert.DeepEqual(t, w.check(), []string(nil))
+	})
+}
