--- a/internal/trial/path_test.go
+++ b/internal/trial/path_test.go
@@ -19,7 +19,7 @@
 func run(t *testing.T, f func(*world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.WithValue(t.Context(), beginKey{}, time.Now()))
-		w := newWorld(t, ctx)
+		w := newWorld(ctx, t)
 		f(w)
 		if os.Getenv("TRIAL_LOG") != "" {
 			w.mu.Lock()
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -75,7 +75,7 @@
 var errSilence = errors.New("no answer")
 
 // newWorld starts three instances and four workers in two racks.
-func newWorld(t *testing.T, ctx context.Context) *world {
+func newWorld(ctx context.Context, t *testing.T) *world {
 	w := &world{
 		t: t, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
 		answers: make(map[graph.ID]accept.Outcome), cancels: make(map[graph.ID]time.Time),
