Apply a read before its outcome wakes the candidate

Cause: TestRestartedLeader failed 2 of 3 times: a candidate was woken by the first read before its lease was applied, stood for a lease that does not exist, lost, and looked again only at the next poll, 0.6 s later. Ruled out: the jitter of candidates (none for the node that held the lease). Change: Follower applies changes first.

--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -41,7 +41,8 @@
 		// Apply takes changes. With whole, they are all rows of the table, and
 		// rows that are not among them are gone.
 		Apply func(c Changes, whole bool)
-		// Trouble is told each failed call, and nil after each good one.
+		// Trouble is told each failed call, and nil after each good one, when
+		// its changes have been applied.
 		Trouble func(err error)
 		// Timed, if not nil, is told how long each read of the table took.
 		Timed func(took time.Duration)
@@ -79,12 +80,12 @@
 		} else {
 			c, err = f.wait(ctx, version)
 		}
+		if err == nil && (whole || len(c.Rows) > 0) {
+			f.Apply(c, whole)
+		}
 		f.Trouble(err)
 		switch {
 		case err == nil:
-			if whole || len(c.Rows) > 0 {
-				f.Apply(c, whole)
-			}
 			version, whole = max(version, c.Version), false
 		case errors.Is(err, ErrCompacted):
 			whole = true
