Find stalled tasks from the workers' reports

Ruled out: shorter calls at all workers, since each has a price. Change: a task is stalled when reports 1.5 s apart show the same progress; after 0.5 s without any, its worker is asked again in 0.5 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,6 +71,7 @@
 		listed  int64
 		expects int
 		silent  int
+		watch   bool
 		wake    chan struct{}
 	}
 )
@@ -95,6 +96,8 @@
 const (
 	// longestWait is the longest that a worker holds an answer.
 	longestWait = 2 * time.Second
+	// watchWait is the wait for an end at a worker whose runs are in doubt.
+	watchWait = 500 * time.Millisecond
 	// holdSlack is what the answer to a call may take beyond its wait.
 	holdSlack = 700 * time.Millisecond
 	// orderLimit bounds one try of an order: two round trips between regions
@@ -163,6 +166,14 @@
 	}
 }
 
+// Watch tells whether the worker's runs are in doubt, so that it is asked again
+// soon.
+func (a *Agent) Watch(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watch = on
+}
+
 // Acknowledge allows the worker to forget its ends up to the number.
 func (a *Agent) Acknowledge(life time.Time, number int64) {
 	a.mu.Lock()
@@ -204,6 +215,8 @@
 	switch {
 	case first, a.silent > 0:
 		return 0, true
+	case a.expects > 0 && a.watch:
+		return watchWait, true
 	case a.expects > 0:
 		return min(longestWait, a.Limits.Lease/3), true
 	}
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -33,10 +33,11 @@
 		sent      bool
 		confirmed time.Time
 		// life is the number of the worker's life that the start was sent to.
-		life    int64
-		over    bool
-		percent int
-		moved   time.Time // when percent last changed
+		life     int64
+		over     bool
+		percent  int
+		moved    time.Time // when percent last changed
+		observed time.Time // when the worker last listed the run
 	}
 )
 
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -12,10 +12,13 @@
 
 const (
 	// stallAfter is the time without progress after which a task counts as
-	// stalled. The reports of a worker that runs something are at most 2 s
-	// apart, and the least estimate of the users' tasks makes a percent in
-	// under 0.15 s.
-	stallAfter = 3 * time.Second
+	// stalled. The longest of the users' tasks makes a percent in 0.15 s, and in
+	// under a second on their slowest workers; a resumed one needs up to 0.6 s
+	// before it goes on.
+	stallAfter = 1500 * time.Millisecond
+	// doubtAfter is the time without progress after which the worker is asked
+	// again soon.
+	doubtAfter = 500 * time.Millisecond
 	// fullPercent is the progress of a task that is about to end.
 	fullPercent = 100
 )
@@ -104,9 +107,11 @@
 		running[r.Task] = r.Run
 	}
 	t.applyEnds(w, e.Report)
+	doubt := false
 	for _, r := range e.Report.Running {
-		t.applyRunning(w, r, e.At)
+		doubt = t.applyRunning(w, r, e.At) || doubt
 	}
+	w.agent.Watch(doubt)
 	if e.Life > w.life {
 		w.life = e.Life
 		t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members), "running", len(running))
@@ -160,10 +165,12 @@
 	t.show(j)
 }
 
-// applyRunning notes the progress of a run, or stops one that is not wanted.
-func (t *term) applyRunning(w *worker, r agent.Run, now time.Time) {
+// applyRunning notes the progress of a run, or stops one that is not wanted. It
+// reports whether the run has made no progress for a while.
+func (t *term) applyRunning(w *worker, r agent.Run, now time.Time) bool {
 	m := w.members[r.Task]
 	if m != nil && m.place.run == r.Run {
+		m.observed = now
 		if r.Percent != m.percent {
 			m.percent, m.moved = r.Percent, now
 		}
@@ -174,13 +181,14 @@
 		if m.confirmed.IsZero() {
 			m.confirmed = now
 		}
-		return
+		return m.idle() > doubtAfter
 	}
 	if m != nil && m.place.run > r.Run && !m.sent {
-		return
+		return false
 	}
 	t.Log.Write(event.RunUnknown, "task", r.Task.String(), "run", r.Run, "worker", string(w.info.ID))
 	w.agent.Stop(t.ctx, agent.Order{Task: r.Task, Run: r.Run})
+	return false
 }
 
 // findMissing ends members that the worker must list and does not: the report
@@ -206,9 +214,9 @@
 		if p.Stopping || p.Since.IsZero() || p.Unit.Spec().LongRunning {
 			continue
 		}
-		if m := p.stalled(now); m != nil {
+		if m := p.stalled(); m != nil {
 			t.Log.Write(event.TaskStalled, "task", m.task.String(), "run", p.run, "worker", string(m.worker.info.ID),
-				"percent", m.percent, "since", now.Sub(m.moved).String())
+				"percent", m.percent, "since", m.idle().String())
 			t.avoidWorker(p, m.worker)
 			t.bar(m.worker, now, "stalled")
 			t.stop(p, "stalled")
@@ -216,12 +224,12 @@
 	}
 }
 
-// stalled returns the member that has made no progress for longest, if all
-// that work do not, or nil.
-func (p *placement) stalled(now time.Time) *member {
+// stalled returns the member that has made the least progress, if any has made
+// none for stallAfter, or nil.
+func (p *placement) stalled() *member {
 	var worst *member
 	for _, m := range p.members {
-		if m.percent >= fullPercent || m.worker.silent || m.confirmed.IsZero() || now.Sub(m.moved) < stallAfter {
+		if m.over || m.percent >= fullPercent || m.idle() < stallAfter {
 			continue
 		}
 		if worst == nil || m.percent < worst.percent {
@@ -230,3 +238,21 @@
 	}
 	return worst
 }
+
+// idle returns for how long the worker's reports show no progress. The tasks of
+// a gang work from when the last of them has started.
+func (m *member) idle() time.Duration {
+	from := m.moved
+	for _, o := range m.place.members {
+		if o.over {
+			continue
+		}
+		if o.confirmed.IsZero() {
+			return 0
+		}
+		if o.confirmed.After(from) {
+			from = o.confirmed
+		}
+	}
+	return max(m.observed.Sub(from), 0)
+}
