--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,137 @@
+package pool
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+)
+
+func gpus(n int64) graph.Demand { return graph.Demand{Accelerators: n} }
+
+// sample has two racks of three workers with 8 accelerators; the first of each
+// is partly in use.
+func sample() *Pool {
+	p := New()
+	for r := range 2 {
+		for i := range 3 {
+			w := &Worker{
+				ID: WorkerID(fmt.Sprintf("w%d%d", r, i)), Service: "s", Rack: fmt.Sprintf("r%d", r), Labels: []string{"a"},
+				Capacity: gpus(8),
+			}
+			if i == 0 {
+				w.Occupied = gpus(int64(3 + r))
+			}
+			p.Put(w)
+		}
+	}
+	return p
+}
+
+func names(ws []*Worker) string {
+	if ws == nil {
+		return "none"
+	}
+	var s []string
+	for _, w := range ws {
+		s = append(s, string(w.ID))
+	}
+	return strings.Join(s, " ")
+}
+
+// TestChoose guards against gangs spread over racks without need, empty workers
+// broken up while others have room, and workers that must not be used.
+func TestChoose(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var b strings.Builder
+	for _, c := range []struct {
+		name   string
+		change func(*Pool, *Request)
+	}{
+		{"one small task", func(_ *Pool, r *Request) { r.Count, r.Room = 1, gpus(1) }},
+		{"two whole workers", func(_ *Pool, r *Request) { r.Count, r.Room = 2, gpus(8) }},
+		{"gang of one rack", func(_ *Pool, r *Request) { r.Count, r.Room, r.SameRack = 5, gpus(4), true }},
+		{"gang beyond a rack", func(_ *Pool, r *Request) { r.Count, r.Room, r.SameRack = 7, gpus(4), true }},
+		{"gang beyond a rack, near only", func(_ *Pool, r *Request) {
+			r.Count, r.Room, r.SameRack, r.NearOnly = 7, gpus(4), true, true
+		}},
+		{"data in r1", func(_ *Pool, r *Request) { r.Count, r.Room, r.DataRack = 2, gpus(2), "r1" }},
+		{"data in r1, no room there", func(p *Pool, r *Request) {
+			r.Count, r.Room, r.DataRack = 1, gpus(8), "r1"
+			p.Worker("w11").Closed, p.Worker("w12").Barred = true, now.Add(time.Second)
+		}},
+		{"data in an unknown rack", func(_ *Pool, r *Request) { r.Count, r.Room, r.DataRack = 1, gpus(1), "r9" }},
+		{"label", func(p *Pool, r *Request) {
+			r.Count, r.Room, r.Label = 1, gpus(1), "b"
+			p.Worker("w12").Labels = []string{"b"}
+		}},
+		{"another service", func(_ *Pool, r *Request) { r.Count, r.Room, r.Service = 1, gpus(1), "x" }},
+		{"one on a worker", func(_ *Pool, r *Request) {
+			r.Count, r.Room, r.MaxPerWorker = 4, gpus(1), 1
+			r.Present = map[WorkerID]int{"w00": 1}
+		}},
+		{"avoided worker last", func(_ *Pool, r *Request) {
+			r.Count, r.Room, r.Avoid = 1, gpus(1), map[WorkerID]bool{"w00": true, "w10": true}
+		}},
+		{"too much", func(_ *Pool, r *Request) { r.Count, r.Room = 60, gpus(1) }},
+	} {
+		p, r := sample(), Request{Now: now, Service: "s"}
+		c.change(p, &r)
+		chosen, near := p.Choose(r)
+		fmt.Fprintf(&b, "%s: %s near=%v\n", c.name, names(chosen), near)
+	}
+	golden.Assert(t, b.String(), "choose.golden")
+}
+
+// TestChooseFits guards against workers that get more than they hold, in any
+// state of the pool.
+func TestChooseFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := sample()
+		p.Each(func(w *Worker) {
+			w.Occupied = gpus(rapid.Int64Range(0, 8).Draw(t, "occupied"))
+			w.Reserved = gpus(rapid.Int64Range(0, 8-w.Occupied.Accelerators).Draw(t, "reserved"))
+			w.Closed = rapid.Bool().Draw(t, "closed")
+		})
+		r := Request{
+			Service: "s", Count: rapid.IntRange(1, 12).Draw(t, "count"), Room: gpus(rapid.Int64Range(1, 8).Draw(t, "room")),
+			SameRack: rapid.Bool().Draw(t, "sameRack"), DataRack: rapid.SampledFrom([]string{"", "r0", "r1"}).Draw(t, "data"),
+		}
+		chosen, _ := p.Choose(r)
+		if chosen == nil {
+			return
+		}
+		assert.Equal(t, len(chosen), r.Count)
+		need := make(map[*Worker]graph.Demand)
+		for _, w := range chosen {
+			need[w] = need[w].Plus(r.Room)
+		}
+		for w, d := range need {
+			assert.Assert(t, d.Fits(w.Free()), "%s gets %v of %v", w.ID, d, w.Free())
+			assert.Assert(t, !w.Closed)
+		}
+	})
+}
+
+func BenchmarkChoose48(b *testing.B)   { benchmarkChoose(b, 48) }
+func BenchmarkChoose350(b *testing.B)  { benchmarkChoose(b, 350) }
+func BenchmarkChoose1500(b *testing.B) { benchmarkChoose(b, 1500) }
+
+func benchmarkChoose(b *testing.B, n int) {
+	p := New()
+	for i := range n {
+		p.Put(&Worker{
+			ID: WorkerID(fmt.Sprint(i)), Service: "s", Rack: fmt.Sprint(i / 8), Capacity: gpus(8),
+			Occupied: gpus(int64(i % 7)),
+		})
+	}
+	r := Request{Service: "s", Count: 6, Room: gpus(4), SameRack: true}
+	for b.Loop() {
+		p.Choose(r)
+	}
+}
