--- a/internal/accept/desk.go
+++ b/internal/accept/desk.go
@@ -207,7 +207,14 @@
 }
 
 // admit refuses a job that cannot be served, before it is stored.
-func (k *Desk) admit(_ context.Context, _ *submission) error { return nil }
+func (k *Desk) admit(_ context.Context, s *submission) error {
+	if s.queue.Advised {
+		// The workers would refuse each start without a ticket.
+		s.answer = Answer{Outcome: Refused, Reason: "tickets of the advice service are not supported"}
+		return errDone
+	}
+	return nil
+}
 
 func (k *Desk) record(ctx context.Context, s *submission) error {
 	outcome, err := k.Ledger.Accept(ctx, s.job)
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,210 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// scene is an agent and a scripted worker.
+type scene struct {
+	t      *testing.T
+	agent  *Agent
+	end    func()
+	group  sync.WaitGroup
+	mu     sync.Mutex
+	lines  []string
+	begun  time.Time
+	born   time.Time
+	down   bool
+	stale  bool
+	starts func(n int) (Answer, error)
+	count  int
+}
+
+func newScene(t *testing.T) *scene {
+	s := &scene{t: t, begun: time.Now(), born: time.Unix(100, 0)}
+	ctx, cancel := context.WithCancel(t.Context())
+	s.end = cancel
+	s.agent = New(Deps{
+		Calls:  Calls{Start: s.start, Stop: s.stop, Hold: s.hold},
+		Target: Target{ID: "w"}, Limits: Limits{Lease: 3 * time.Second, Bound: 5 * time.Second}, Epoch: 7,
+		Renewed: func() time.Time {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.stale {
+				return s.begun
+			}
+			return time.Now()
+		},
+		Go: s.group.Go, Emit: s.emit, Log: event.Discard(),
+	})
+	s.group.Go(func() { s.agent.Run(ctx) })
+	return s
+}
+
+func (s *scene) line(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, fmt.Sprintf("%6.2f ", time.Since(s.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// set changes the script of the worker.
+func (s *scene) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *scene) clock() Clock { return time.Hour + time.Since(s.begun) }
+
+func (s *scene) emit(e Event) {
+	names := [...]string{"reported", "started", "refused", "dropped", "silent", "gone"}
+	if e.Kind != Reported {
+		s.line("event %s run %d %s", names[e.Kind], e.Order.Run, e.Reason)
+	}
+}
+
+func (s *scene) start(_ context.Context, _ Target, o Order, until Clock, fence int64) (Answer, error) {
+	s.mu.Lock()
+	s.count++
+	n := s.count
+	s.mu.Unlock()
+	a, err := s.starts(n)
+	s.line("start run %d fence %d lease %.2f: %q %v", o.Run, fence, (until - s.clock()).Seconds(), a.Refused, err)
+	return a, err
+}
+
+func (s *scene) stop(_ context.Context, _ Target, o Order, fence int64) (Answer, error) {
+	s.line("stop run %d fence %d", o.Run, fence)
+	return Answer{Clock: s.clock()}, nil
+}
+
+func (s *scene) hold(ctx context.Context, _ Target, h Holding) (Report, error) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		return Report{}, errors.New("no answer")
+	}
+	lease := "none"
+	if h.Until > 0 {
+		lease = fmt.Sprintf("%.2f", (h.Until - s.clock()).Seconds())
+	}
+	s.line("hold fence %d lease %s wait %v", h.Fence, lease, h.Wait)
+	select {
+	case <-ctx.Done():
+		return Report{}, ctx.Err()
+	case <-time.After(h.Wait):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Report{Clock: s.clock(), Born: s.born}, nil
+}
+
+func (s *scene) finish(name string) {
+	s.end()
+	s.group.Wait()
+	golden.Assert(s.t, strings.Join(s.lines, "\n")+"\n", name)
+}
+
+func order(run int64) Order { return Order{Task: graph.TaskID{Job: "j"}, Run: run} }
+
+// TestLeases guards against a worker that is called without need, and against
+// leases that outlast the bound after the leader's last renewal.
+func TestLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t)
+		time.Sleep(2050 * time.Millisecond)
+		s.line("one run expected, the lease of the leader no longer renewed")
+		s.set(func() { s.stale = true })
+		s.agent.Expect(1)
+		time.Sleep(4500 * time.Millisecond)
+		s.finish("leases.golden")
+	})
+}
+
+// TestSilent guards against a silent worker whose leases are granted anew with
+// each failed call, and against giving its runs up before the leases have ended
+// on a clock that may run slow.
+func TestSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t)
+		s.agent.Expect(1)
+		time.Sleep(1500 * time.Millisecond)
+		s.line("the worker falls silent")
+		s.set(func() { s.down = true })
+		time.Sleep(5050 * time.Millisecond)
+		s.agent.Expect(0)
+		s.finish("silent.golden")
+	})
+}
+
+// TestStart guards against a start that is given up while it may still be
+// carried out, and against one that is reported as refused although it ran.
+func TestStart(t *testing.T) {
+	silence := errors.New("no answer")
+	for _, c := range []struct {
+		name   string
+		starts func(n int) (Answer, error)
+	}{
+		{"lost once", func(n int) (Answer, error) {
+			if n == 1 {
+				return Answer{}, silence
+			}
+			return Answer{}, nil
+		}},
+		{"lost and ended meanwhile", func(n int) (Answer, error) {
+			if n == 1 {
+				return Answer{}, silence
+			}
+			return Answer{Refused: RefusedOld}, nil
+		}},
+		{"never answered", func(int) (Answer, error) { return Answer{}, silence }},
+		{"not taken", func(int) (Answer, error) { return Answer{}, ErrNotTaken }},
+		{"no room", func(int) (Answer, error) { return Answer{Refused: RefusedRoom}, nil }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newScene(t)
+				s.starts = c.starts
+				time.Sleep(time.Second)
+				s.agent.Start(t.Context(), order(1))
+				time.Sleep(3 * time.Second)
+				s.finish("start " + c.name + ".golden")
+			})
+		})
+	}
+}
+
+// TestReborn guards against orders to a worker's former life that its next
+// life carries out: the token rises, and a late try keeps the old one.
+func TestReborn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t)
+		s.starts = func(n int) (Answer, error) {
+			if n == 1 {
+				time.Sleep(1500 * time.Millisecond)
+				return Answer{}, errors.New("no answer")
+			}
+			return Answer{Refused: RefusedFence}, nil
+		}
+		time.Sleep(time.Second)
+		s.agent.Start(t.Context(), order(1))
+		s.set(func() { s.born = time.Unix(200, 0) })
+		s.agent.Expect(1)
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, s.agent.Lives(), int64(1))
+		s.finish("reborn.golden")
+	})
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,123 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/fakes"
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+const testID graph.ID = "0123456789abcdef"
+
+func testJob() *graph.Job {
+	return &graph.Job{ID: testID, Queue: "q", MaxAttempts: 1, Steps: []graph.Step{{Count: 1}}}
+}
+
+// outcomeName keeps the golden file readable.
+func outcomeName(o Outcome) string {
+	return [...]string{"stored", "not stored", "unsure", "absent", "over"}[o]
+}
+
+// TestAccept guards against a refusal of a job that is stored after all, and
+// against two jobs from one that was sent twice.
+func TestAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b strings.Builder
+		for _, c := range []struct {
+			name   string
+			faults []fakes.Fault
+			before func(store.Table) error
+		}{
+			{name: "calm"},
+			{name: "store down", faults: []fakes.Fault{{Kind: fakes.Down}}},
+			{name: "answer lost once", faults: []fakes.Fault{{Kind: fakes.Lost, Next: 1}}},
+			{name: "answers lost", faults: []fakes.Fault{{Kind: fakes.Lost}}},
+			{name: "slower than the caller", faults: []fakes.Fault{{Kind: fakes.Slow, Delay: 5 * time.Second}}},
+			{name: "sent before", before: func(tbl store.Table) error {
+				_, err := New(tbl).Accept(t.Context(), testJob())
+				return err
+			}},
+			{name: "ended before", before: func(tbl store.Table) error {
+				_, err := tbl.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: EndedKey(testID), Value: []byte(`{}`)}}})
+				return err
+			}},
+		} {
+			table := fakes.NewTable()
+			if c.before != nil {
+				assert.NilError(t, c.before(table.Store()))
+			}
+			for _, f := range c.faults {
+				table.Faults.Set(f)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			outcome, _ := New(table.Store()).Accept(ctx, testJob())
+			cancel()
+			table.Faults.Clear()
+			time.Sleep(6 * time.Second)
+			_, err := table.Store().Get(t.Context(), JobKey(testID))
+			fmt.Fprintf(&b, "%s: %s, row there later: %v\n", c.name, outcomeName(outcome), err == nil)
+		}
+		golden.Assert(t, b.String(), "accept.golden")
+	})
+}
+
+// TestCancel guards against a cancel that is acknowledged and lost.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := fakes.NewTable()
+		l := New(table.Store())
+		outcome, err := l.Cancel(t.Context(), testID)
+		assert.NilError(t, err)
+		assert.Equal(t, outcomeName(outcome), "absent")
+		_, err = l.Accept(t.Context(), testJob())
+		assert.NilError(t, err)
+		table.Faults.Set(fakes.Fault{Kind: fakes.Lost, Next: 1})
+		outcome, err = l.Cancel(t.Context(), testID)
+		assert.NilError(t, err)
+		assert.Equal(t, outcomeName(outcome), "stored")
+		phase, known, err := l.Phase(t.Context(), testID)
+		assert.NilError(t, err)
+		assert.Assert(t, known && phase == graph.Cancelled)
+	})
+}
+
+// TestWriter guards against a transaction of the leader that takes effect
+// twice, out of order, or after its term.
+func TestWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := fakes.NewTable()
+		tbl := table.Store()
+		version, err := tbl.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: SequenceKey, Value: SequenceValue(1, 0)}}})
+		assert.NilError(t, err)
+		w := NewWriter(tbl, 1, version)
+		put := func(value string) Batch {
+			return Batch{Puts: []store.Put{{Key: ProgressKey(testID), Value: []byte(value)}}}
+		}
+		table.Faults.Set(fakes.Fault{Kind: fakes.Lost, Next: 1})
+		assert.NilError(t, w.Commit(t.Context(), put("first")))
+
+		// The second is carried out only after the writer has sent it again and
+		// written the third.
+		table.Faults.Set(fakes.Fault{Kind: fakes.Slow, Delay: 4 * time.Second, Next: 1})
+		assert.NilError(t, w.Commit(t.Context(), put("second")))
+		assert.NilError(t, w.Commit(t.Context(), put("third")))
+		time.Sleep(5 * time.Second)
+		row, err := tbl.Get(t.Context(), ProgressKey(testID))
+		assert.NilError(t, err)
+		assert.Equal(t, string(row.Value), "third")
+
+		_, err = tbl.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: SequenceKey, Value: SequenceValue(2, 0)}}})
+		assert.NilError(t, err)
+		err = w.Commit(t.Context(), put("fourth"))
+		assert.Assert(t, errors.Is(err, ErrDeposed), "%v", err)
+	})
+}
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// template is the file that the platform fills.
+const template = "../../deploy/settings.ini"
+
+// filled returns the template with values in place of its fields.
+func filled(t *testing.T) string {
+	text, err := os.ReadFile(template)
+	assert.NilError(t, err)
+	values := map[string]string{
+		"node": "edge-1", "zone": "d1", "region": "r1", "listen.front": "10.1.0.19:8521", "listen.ready": "10.1.0.19:8523",
+		"ip": "10.1.0.19", "port_range.0": "7000", "port_range.1": "7001", "platform.address": "10.200.1.7:8524",
+		"advice": "", "bounds.hold_max_ms": "10000", "bounds.grace_s": "6", "bounds.status_s": "120",
+	}
+	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(text), func(field string) string {
+		v, ok := values[strings.Trim(field, "{}")]
+		assert.Assert(t, ok, "the template has the field %s, which this test does not know", field)
+		return v
+	})
+}
+
+// TestTemplate guards against a template that the instance does not take.
+func TestTemplate(t *testing.T) {
+	s, mistakes := parseSettings([]byte(filled(t)))
+	assert.DeepEqual(t, mistakes, []string(nil))
+	golden.Assert(t, fmt.Sprintf("%+v\n", s), "settings.golden")
+}
+
+// TestMistakes guards against operators who find the mistakes of a settings
+// file one start at a time.
+func TestMistakes(t *testing.T) {
+	_, mistakes := parseSettings([]byte(`[instance]
+name =
+domain = d1
+region = r1
+listen = 10.1.0.19
+ready = 10.1.0.19:0
+peers = 10.1.0.19:1
+metrics = 10.1.0.19:2
+[platform]
+store = nowhere:1
+advice = x
+[limits]
+longestLease = 10
+grace = -1s
+retention = 2m
+[logs]
+decisions = maybe
+`))
+	golden.Assert(t, strings.Join(mistakes, "\n")+"\n", "mistakes.golden")
+}
--- /dev/null
+++ b/internal/queues/config_test.go
@@ -0,0 +1,49 @@
+package queues
+
+import (
+	"testing"
+
+	"github.com/baobabquay/baobabquay/internal/event"
+	"gotest.tools/v3/assert"
+)
+
+// TestInstall guards against a configuration that goes back to an older
+// version, which a late answer of the store may bring.
+func TestInstall(t *testing.T) {
+	k := NewKeeper(event.Discard())
+	assert.Assert(t, k.Current() == nil)
+	for _, c := range []struct {
+		version int64
+		want    bool
+		now     int64
+	}{{3, true, 3}, {2, false, 3}, {3, false, 3}, {7, true, 7}, {6, false, 7}} {
+		assert.Equal(t, k.Install((&Config{Version: c.version}).Seal()), c.want)
+		assert.Equal(t, k.Current().Version, c.now)
+	}
+}
+
+// TestQueue guards against jobs that go to a queue with a shorter prefix, or to
+// that of another host.
+func TestQueue(t *testing.T) {
+	c := (&Config{Queues: []Queue{
+		{Name: "short", Host: "h", Prefix: "/p/"}, {Name: "long", Host: "h", Prefix: "/p/q/"}, {Name: "other", Host: "g", Prefix: "/"},
+	}}).Seal()
+	for path, want := range map[string]string{"/p/1": "short", "/p/q/1": "long", "/x": ""} {
+		q, ok := c.Queue("h", path)
+		assert.Equal(t, ok, want != "", path)
+		if ok {
+			assert.Equal(t, q.Name, want, path)
+		}
+	}
+}
+
+// TestOutOfService guards against a failure domain that stays in or out of
+// service against the operators' will.
+func TestOutOfService(t *testing.T) {
+	k := NewKeeper(event.Discard())
+	before := k.OutOfService()
+	k.SetOutOfService("d1", true)
+	assert.Assert(t, k.OutOfService()["d1"] && !before["d1"])
+	k.SetOutOfService("d1", false)
+	assert.Assert(t, !k.OutOfService()["d1"])
+}
