Guard stored starts, draining workers, domains out of service, guarantees and versions by tests that fail without the guard

Cause: five edits that take a guard out left make test green: the check of guarantees at a placement, any configuration version, a start before it is stored, a start on a draining worker, a start in a domain out of service.

--- a/internal/quota/book_test.go
+++ b/internal/quota/book_test.go
@@ -110,3 +110,32 @@
 	}
 	return b
 }
+
+// TestKeeps guards against a placement that breaks up the room of another
+// workspace's guarantee. Both guarantees fit as long as each job stays on one
+// worker.
+func TestKeeps(t *testing.T) {
+	var free []fleet.Worker
+	for _, s := range workers(2, "ub1") {
+		free = append(free, fleet.Worker{Spec: s, Free: s.Capacity})
+	}
+	halves := shape.Shape{Members: 2, Member: shape.Resources{Accelerators: 4}}
+	whole := shape.Shape{Members: 1, Member: shape.Resources{Accelerators: 8}}
+	claims := []quota.Claim{{Workspace: "a", Shape: halves, Count: 1}, {Workspace: "b", Shape: whole, Count: 1}}
+	for _, c := range []struct {
+		name  string
+		slots []jobs.Slot
+		want  bool
+	}{
+		{"together", []jobs.Slot{{Worker: "ub1-0", Members: 2}}, true},
+		{"on both workers", []jobs.Slot{{Worker: "ub1-0", Members: 1}, {Worker: "ub1-1", Members: 1}}, false},
+	} {
+		b := quota.NewBook(free, claims)
+		if got := b.Keeps(0, halves, c.slots); got != c.want {
+			t.Errorf("%s: Keeps returns %v", c.name, got)
+		}
+		if got := b.Use(0, halves, c.slots); got != c.want {
+			t.Errorf("%s: Use returns %v", c.name, got)
+		}
+	}
+}
--- a/internal/site/keeper_test.go
+++ b/internal/site/keeper_test.go
@@ -101,3 +101,26 @@
 		})
 	}
 }
+
+// TestNoStepBack guards against an older configuration that comes in force
+// after a newer one, from a peer that is behind or from a late answer.
+func TestNoStepBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &script{table: fakes.NewTable(), begin: time.Now()}
+		k := s.keeper(ctx)
+		s.apply(ctx, k, 0)
+		s.apply(ctx, k, 1)
+		time.Sleep(1500 * time.Millisecond)
+		highest := int64(2)
+		for _, version := range []int64{1, 2, 3, 2} {
+			k.Learn(&config.Config{Version: version, Limits: config.DefaultLimits()})
+			time.Sleep(500 * time.Millisecond)
+			highest = max(highest, version)
+			if got := k.Current().Version; got != highest {
+				t.Errorf("after version %d: %d in force, want %d", version, got, highest)
+			}
+		}
+	})
+}
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -1,12 +1,15 @@
 package trial
 
 import (
+	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/accept"
 	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/ledger"
 )
 
 const (
@@ -28,6 +31,7 @@
 		w.checkTask(task, list)
 	}
 	w.checkCapacity(runs)
+	w.checkStored(runs)
 	return w.breaches
 }
 
@@ -68,6 +72,39 @@
 	}
 }
 
+// checkStored guards against starts that a successor would not know of: each
+// run is in the job's row of progress before it begins.
+func (w *world) checkStored(runs []fakes.MachineRun) {
+	log := w.table.Log()
+	for _, r := range runs {
+		stored := false
+		for _, c := range log {
+			if c.Key == ledger.ProgressKey(r.Task.Job) && !c.At.After(r.Begun) && lists(c.Value, r) {
+				stored = true
+				break
+			}
+		}
+		if !stored {
+			w.breach("UNSTORED %s run %d begins before it is stored", r.Task, r.Run)
+		}
+	}
+}
+
+// lists reports whether a row of progress has the run among the placed ones.
+func lists(value []byte, r fakes.MachineRun) bool {
+	var k graph.Kept
+	if err := json.Unmarshal(value, &k); err != nil {
+		return false
+	}
+	for _, p := range k.Placed {
+		if p.Run == r.Run && p.Step == r.Task.Step && slices.Contains(p.Members, r.Task.Index) &&
+			slices.Contains(p.Workers, string(r.Worker)) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkCapacity guards against workers with more tasks than they hold.
 func (w *world) checkCapacity(runs []fakes.MachineRun) {
 	for _, r := range runs {
--- a/internal/trial/path_test.go
+++ b/internal/trial/path_test.go
@@ -223,3 +223,31 @@
 		assert.DeepEqual(t, slices.Compact(seen), []graph.Phase{graph.Completed})
 	})
 }
+
+// TestClosedWorkers guards against tasks that start on a draining worker or in a
+// failure domain that is out of service.
+func TestClosedWorkers(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.list("w1", "r0", true)
+		time.Sleep(100 * time.Millisecond)
+		closed := time.Now()
+		w.script()
+		time.Sleep(2 * time.Second)
+		for _, n := range w.nodes {
+			n.life().keeper.SetOutOfService("d1", true)
+		}
+		time.Sleep(500 * time.Millisecond)
+		out := time.Now()
+		go w.submit(0, "urgent", "kn", "9999999999999999", graph.Step{Count: 1, Demand: gpu(1), Estimate: time.Second})
+		time.Sleep(4 * time.Second)
+		for _, r := range w.machines.Runs() {
+			if r.Worker == "w1" && r.Begun.After(closed) {
+				t.Errorf("%s begins on a draining worker", r.Task)
+			}
+			if r.Begun.After(out) {
+				t.Errorf("%s begins in a failure domain that is out of service", r.Task)
+			}
+		}
+	})
+}
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -63,6 +63,7 @@
 		elector   *elect.Elector
 		scheduler *lead.Scheduler
 		desk      *accept.Desk
+		keeper    *queues.Keeper
 	}
 )
 
@@ -160,6 +161,7 @@
 	}}
 	log := event.New(w.logger(fmt.Sprintf("%s.%d", n.name, n.lives)))
 	keeper := queues.NewKeeper(log)
+	n.now.keeper = keeper
 	keeper.Install(config())
 	table, feed := n.now.link.table(w.table.Store()), n.now.link.feed(w.table.Feed())
 	n.now.scheduler = lead.New(lead.Deps{
