Wake candidates when the lease goes stale, and log refusals under the job's identifier

In the same logs a refusal for an unknown key had no job. Ruled out: the distance from the store (the candidates were in its region). Change: a timer wakes the candidate at the instant; the identifier is read from the path before the chain.

--- a/internal/accept/desk.go
+++ b/internal/accept/desk.go
@@ -128,6 +128,8 @@
 // set by the caller; the desk sets the rest.
 func (k *Desk) Submit(ctx context.Context, c Call, j *graph.Job) Answer {
 	s := &submission{call: c, job: j}
+	// A refusal is logged under the identifier even if no queue takes the call.
+	j.ID = graph.ID(c.Path[strings.LastIndexByte(c.Path, '/')+1:])
 	begun := time.Now()
 	if err := k.chain.Run(ctx, s); err != nil && !errors.Is(err, errDone) {
 		s.answer = Answer{Outcome: Unknown, Reason: err.Error()}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -172,19 +172,28 @@
 	if e.changed.IsZero() {
 		e.changed = time.Now()
 	}
-	if e.takeable() {
-		select {
-		case e.wake <- struct{}{}:
-		default:
-		}
+	// The next answer of the store may be a whole patience away.
+	if wait := e.remaining(); !e.retired && wait < patience {
+		time.AfterFunc(wait, e.rouse)
+	}
+}
+
+// rouse wakes the candidate, which looks whether it may take the lease.
+func (e *Elector) rouse() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
 	}
 }
 
 // takeable reports whether the lease may be taken now. The lock is held.
 func (e *Elector) takeable() bool {
-	if e.retired {
-		return false
-	}
+	return !e.retired && !e.changed.IsZero() && e.remaining() <= 0
+}
+
+// remaining returns the time until the lease may be taken if it does not
+// change. The lock is held.
+func (e *Elector) remaining() time.Duration {
 	wait := e.delay()
 	switch {
 	case e.row.Version == 0 || e.lease.Released:
@@ -193,7 +202,7 @@
 	default:
 		wait += staleness
 	}
-	return !e.changed.IsZero() && time.Since(e.changed) >= wait
+	return max(wait-time.Since(e.changed), 0)
 }
 
 func (e *Elector) delay() time.Duration {
@@ -208,6 +217,9 @@
 // over.
 func (e *Elector) stand(ctx context.Context) {
 	term, err := e.take(ctx)
+	if errors.Is(err, errFresh) {
+		return
+	}
 	if err != nil {
 		e.Log.Write(event.LeaseMissed, "reason", err.Error())
 		return
