--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,8 @@
 	@MATRIX=1 $(GO) test ./internal/matrix -run '^TestMatrix$$' -count=1 -timeout 20m -v >$(MATRIX_LOG) 2>&1; \
 		status=$$?; grep -E '^ +matrix_test.go|^--- FAIL|^FAIL|^panic|^matrix: seed' $(MATRIX_LOG); \
 		grep -E '^matrix: cells' $(MATRIX_LOG) || tail -30 $(MATRIX_LOG); exit $$status
+	@MATRIX=1 $(GO) test ./internal/trial -run '^TestMatrix$$' -count=1 -timeout 10m -v >$(MATRIX_LOG) 2>&1; \
+		status=$$?; grep -E 'cell .*breaches|trial: cells|^panic' $(MATRIX_LOG); exit $$status
 
 lint: $(LINT) ## run the formatter, go vet and the linter
 	@out=$$($(LINT) fmt --diff); test -z "$$out" || { echo "$$out"; echo "run make format"; exit 1; }
