Serve counters of events and histograms; remove fields that nothing uses

Cause: the metrics address had only the process's own metrics; a run that never began was logged as one of 2562047 hours; three parts of the new model had no use. Ruled out: - Change: each event is counted; histograms of submissions, first starts and commits; a log output that takes nothing is tested.

--- a/internal/accept/desk.go
+++ b/internal/accept/desk.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/ledger"
@@ -110,7 +111,11 @@
 	shortRetry = time.Second
 )
 
-var errDone = errors.New("answered")
+var (
+	errDone = errors.New("answered")
+	// submitTime is the time in which submissions are answered.
+	submitTime = metrics.NewHistogram("baobabquay_submit_seconds")
+)
 
 // New returns a desk.
 func New(d Deps) *Desk {
@@ -134,6 +139,7 @@
 	if err := k.chain.Run(ctx, s); err != nil && !errors.Is(err, errDone) {
 		s.answer = Answer{Outcome: Unknown, Reason: err.Error()}
 	}
+	submitTime.Update(time.Since(begun).Seconds())
 	id := event.JobAccepted
 	if s.answer.Outcome != Accepted {
 		id = event.JobRefused
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -1,6 +1,9 @@
 package event
 
 import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 )
 
@@ -159,6 +162,17 @@
 	{LinesDropped, "linesDropped", "Log lines were dropped because the output was too slow; count says how many."},
 }
 
+// counters has a counter of each event.
+var counters = newCounters()
+
+func newCounters() map[ID]*metrics.Counter {
+	m := make(map[ID]*metrics.Counter, len(catalogue))
+	for _, e := range catalogue {
+		m[e.ID] = metrics.NewCounter(fmt.Sprintf("baobabquay_events_total{event=%q}", e.Name))
+	}
+	return m
+}
+
 // New returns a log that writes to l.
 func New(l logr.Logger) Log { return Log{l: l} }
 
@@ -168,8 +182,11 @@
 // With returns a log that adds the pairs to each event.
 func (l Log) With(pairs ...any) Log { return Log{l: l.l.WithValues(pairs...)} }
 
-// Write writes an event with pairs of keys and values.
+// Write writes an event with pairs of keys and values, and counts it.
 func (l Log) Write(id ID, pairs ...any) {
+	if c := counters[id]; c != nil {
+		c.Inc()
+	}
 	l.l.Info(id.String(), append([]any{"event", int(id)}, pairs...)...)
 }
 
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
@@ -26,3 +27,27 @@
 	// The operators' page itself is the golden file.
 	golden.Assert(t, b.String(), "../../../docs/events.md")
 }
+
+// TestSinkDrops guards against code that waits for a log output which takes
+// nothing, and against lines that are lost without a word.
+func TestSinkDrops(t *testing.T) {
+	r, w := io.Pipe()
+	s := NewSink(w)
+	log := New(s.Logger())
+	for range 2 * sinkLines {
+		log.Write(JobSeen)
+	}
+	got := make(chan string)
+	go func() {
+		b, err := io.ReadAll(r)
+		if err != nil {
+			b = []byte(err.Error())
+		}
+		got <- string(b)
+	}()
+	s.Close()
+	assert.NilError(t, w.Close())
+	text := <-got
+	assert.Assert(t, strings.Count(text, `"jobSeen"`) >= sinkLines)
+	assert.Assert(t, strings.Contains(text, `"linesDropped"`))
+}
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -173,16 +173,6 @@
 	return j.Due(k).Add(slack + j.Objective)
 }
 
-// Lasts reports whether a step of the job is long-running.
-func (j *Job) Lasts() bool {
-	for i := range j.Steps {
-		if j.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // Check returns an error that wraps ErrInvalid if the graph cannot be run. A
 // step may depend on any other one as long as there is no cycle; the steps are
 // put in no other order.
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -270,18 +270,6 @@
 	return true
 }
 
-// Failures returns how many runs of the task, or of its gang, have failed.
-func (p *Progress) Failures(t TaskID) int {
-	task := p.Task(t)
-	if task == nil {
-		return 0
-	}
-	if p.Job.Steps[t.Step].Gang {
-		return p.Occurrences[t.Occurrence].Steps[t.Step].gang.Count
-	}
-	return task.Failures.Count
-}
-
 // Phase returns the state of the job.
 func (p *Progress) Phase() Phase {
 	switch {
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/ledger"
@@ -48,6 +49,9 @@
 // away: it answers in 4 ms, and in a quarter of a second when it is slow.
 const storeTrouble = 300 * time.Millisecond
 
+// commitTime is the time that the leader's transactions take.
+var commitTime = metrics.NewHistogram("baobabquay_commit_seconds")
+
 // flush stores what has changed, one transaction at a time.
 func (t *term) flush(now time.Time) {
 	if t.inFlight || t.since.IsZero() || now.Before(t.gatherUntil()) {
@@ -176,6 +180,7 @@
 
 func (t *term) applyCommitted(e committed) error {
 	t.inFlight = false
+	commitTime.Update(time.Since(t.sent).Seconds())
 	if e.err != nil {
 		if errors.Is(e.err, ledger.ErrDeposed) || t.ctx.Err() != nil {
 			return e.err
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -65,6 +65,14 @@
 
 func keyOf(u graph.Unit) stepKey { return stepKey{u.Occurrence, u.Step} }
 
+// ran returns how long the placement has run, 0 if it has not begun.
+func (p *placement) ran(now time.Time) time.Duration {
+	if p.Since.IsZero() {
+		return 0
+	}
+	return now.Sub(p.Since)
+}
+
 // keep returns what is stored of a placement.
 func (p *placement) keep() graph.KeptRun {
 	k := graph.KeptRun{Occurrence: p.Unit.Occurrence, Step: p.Unit.Step, Run: p.run}
@@ -132,6 +140,7 @@
 		})
 	}
 	if !p.job.progress.Begun {
+		firstStart.Update(now.Sub(p.job.progress.Job.Due(p.Unit.Occurrence)).Seconds())
 		p.job.progress.Begun = true
 		t.show(p.job)
 	}
@@ -153,7 +162,7 @@
 			w.Leaving = w.Leaving.Minus(room)
 		}
 	}
-	t.Log.Write(event.JobReclaimed, "job", string(p.job.progress.Job.ID), "run", p.run, "ran", now.Sub(p.Since).String(),
+	t.Log.Write(event.JobReclaimed, "job", string(p.job.progress.Job.ID), "run", p.run, "ran", p.ran(now).String(),
 		"for", string(s.For.Progress.Job.ID))
 	t.stop(p, "reclaimed")
 }
@@ -215,7 +224,7 @@
 		t.avoidWorker(p, m.worker)
 	}
 	t.Log.Write(event.TaskEnded, "task", m.task.String(), "run", p.run, "worker", string(m.worker.info.ID),
-		"how", string(how), "ran", now.Sub(p.Since).String(), "saved", saved != "")
+		"how", string(how), "ran", p.ran(now).String(), "saved", saved != "")
 	if p.left > 0 {
 		// The other members of a gang end with it; those that have no order
 		// yet, or whose worker does not know it, are told.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/baobabquay/baobabquay/internal/agent"
 	"github.com/baobabquay/baobabquay/internal/elect"
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -128,6 +129,10 @@
 	runsPerEpoch = 1 << 20
 )
 
+// firstStart is the time from the acceptance, or the due time, of a job to its
+// first start.
+var firstStart = metrics.NewHistogram("baobabquay_job_first_start_seconds")
+
 // New returns a scheduler that does not lead.
 func New(d Deps) *Scheduler {
 	return &Scheduler{
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -137,7 +137,7 @@
 		return
 	}
 	entry := w.info
-	entry.Closed, entry.Pace = true, 1
+	entry.Closed = true
 	t.pool.Put(&entry)
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,9 +33,6 @@
 		Closed bool
 		// Barred workers get no tasks until then, because tasks fail there.
 		Barred time.Time
-		// Pace is the mean duration of tasks in parts of what other workers
-		// take, 1 for a worker of which nothing is known.
-		Pace float64
 	}
 
 	// Pool is a set of workers by rack. It is not safe for concurrent use.
