--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,7 +68,6 @@
 		seen  int64
 		// sent is the acknowledgement that the worker has taken.
 		sent    int64
-		listed  int64
 		expects int
 		silent  int
 		watch   bool
@@ -303,7 +302,7 @@
 	reborn := !a.born.IsZero() && !r.Born.Equal(a.born)
 	if reborn {
 		a.lives++
-		a.seen, a.sent, a.until, a.listed = 0, 0, 0, 0
+		a.seen, a.sent, a.until = 0, 0, 0
 	}
 	if a.born.IsZero() && len(r.Running) > 0 {
 		// A former leader may have leased these runs until then.
@@ -312,9 +311,6 @@
 	life := a.lives
 	a.born, a.silent = r.Born, 0
 	a.note(r.Clock, reborn)
-	for _, e := range r.Ended {
-		a.listed = max(a.listed, e.Number)
-	}
 	a.mu.Unlock()
 	a.Emit(Event{Kind: Reported, Agent: a, Report: r, Asked: asked, Life: life, At: time.Now()})
 }
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -14,13 +14,14 @@
 //
 // # Take-over
 //
-// A new leader reads all rows and every worker that may run something. What
-// runs is adopted: whole gangs and single tasks go on, incomplete gangs are
-// stopped. Units of jobs that were accepted before are not started until each
-// worker has answered under the new epoch, or the leases there have ended,
-// since a worker that is out of reach may run them.
-//
-// Run numbers rise with the epoch, so no start has to be stored.
+// A placement is stored before its starts are sent, and a former leader can
+// store nothing once the next term has begun. So a new leader knows from the
+// rows which runs may be under way, and where. It takes them over: the first
+// answer of a worker shows each of them as running, as ended, or as lost. Runs
+// on a worker that is out of reach stay until their leases have ended; all
+// others can be placed at once.
+//
+// Run numbers begin at a multiple of the epoch, so they rise over leaders.
 //
 // # Usage
 //
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -181,8 +181,3 @@
 	t.agents.Go(func() { jobs.Run(ctx) })
 	t.agents.Go(func() { workers.Run(ctx) })
 }
-
-// withCancel is context.WithCancel with a plain function.
-func withCancel(ctx context.Context) (context.Context, func()) {
-	return context.WithCancel(ctx)
-}
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -1,7 +1,7 @@
 package lead
 
 import (
-	"sync"
+	"context"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/agent"
@@ -22,7 +22,7 @@
 	worker struct {
 		info  pool.Worker
 		agent *agent.Agent
-		stop  func()
+		stop  context.CancelFunc
 		// listed reports whether the platform's list has the worker.
 		listed   bool
 		draining bool
@@ -122,9 +122,8 @@
 		Calls: t.Calls, Target: agent.Target{ID: info.ID, Address: info.Address}, Limits: t.Limits,
 		Epoch: t.Epoch, Renewed: t.Renewed, Go: t.agents.Go, Emit: func(e agent.Event) { t.post(e) }, Log: t.Log,
 	})
-	ctx, stop := withCancel(t.ctx)
-	w.agent = a
-	w.stop = sync.OnceFunc(stop)
+	ctx, stop := context.WithCancel(t.ctx)
+	w.agent, w.stop = a, stop
 	t.agents.Go(func() { a.Run(ctx) })
 	return w
 }
