Read the settings again on SIGHUP instead of ending

Ruled out: a crash (129 is 128 + SIGHUP). Change: on SIGHUP the settings are read again and the outcome is logged.

--- a/cmd/baobabquayd/main.go
+++ b/cmd/baobabquayd/main.go
@@ -12,7 +12,9 @@
 // of the stand-ins. The settings file of --platform is by default the one that
 // the variable BAOBABQUAY_CONFIG names.
 //
-// SIGTERM and SIGINT begin a planned stop. A second signal ends the process at
+// SIGHUP, with --platform, reads the settings again and logs whether they have
+// changed; changes come into force at the next start. SIGTERM and SIGINT begin a
+// planned stop. A second signal ends the process at
 // once. The exit code is 0 after a planned stop that cut nothing off, 1 after
 // a failure and 2 for wrong usage.
 package main
@@ -81,7 +83,16 @@
 	}
 	sink := event.NewSink(os.Stdout)
 	defer sink.Close()
-	return exitCode(serve(node.New(settings, sink.Logger())))
+	logger := sink.Logger()
+	// The signal for changed settings would otherwise end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			node.Reread(settings, path, event.New(logger))
+		}
+	}()
+	return exitCode(serve(node.New(settings, logger)))
 }
 
 func exitCode(err error) int {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,7 @@
 	PeerLost       ID = 5005
 	LinkBytes      ID = 5006
 	LinesDropped   ID = 5007
+	SettingsReread ID = 5008
 )
 
 var catalogue = []Entry{
@@ -160,6 +161,7 @@
 	{PeerLost, "peerLost", "Another instance no longer answers."},
 	{LinkBytes, "linkBytes", "Bytes sent to and received from other regions since the last report, by kind."},
 	{LinesDropped, "linesDropped", "Log lines were dropped because the output was too slow; count says how many."},
+	{SettingsReread, "settingsReread", "The settings were read again on a signal; outcome says whether they have changed."},
 }
 
 // counters has a counter of each event.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
@@ -63,6 +64,20 @@
 	return s, nil
 }
 
+// Reread reads the settings file again and logs what it finds. Addresses and
+// limits cannot change while the instance runs, so nothing else happens.
+func Reread(present Settings, path string, log event.Log) {
+	next, err := ReadSettings(path)
+	outcome := "unchanged"
+	switch {
+	case err != nil:
+		outcome = err.Error()
+	case next != present:
+		outcome = "changed, in force at the next start"
+	}
+	log.Write(event.SettingsReread, "instance", present.Name, "outcome", outcome)
+}
+
 // parseSettings returns the settings of a text and its mistakes, a line each.
 func parseSettings(text []byte) (Settings, []string) {
 	file, err := ini.LoadSources(ini.LoadOptions{IgnoreContinuation: true, KeyValueDelimiters: "="}, text)
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
+	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
@@ -60,3 +63,21 @@
 `))
 	golden.Assert(t, strings.Join(mistakes, "\n")+"\n", "mistakes.golden")
 }
+
+// TestReread guards against a signal for changed settings that ends the process
+// or passes without a word.
+func TestReread(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(filled(t)), 0o600))
+	present, err := ReadSettings(path)
+	assert.NilError(t, err)
+	var lines []string
+	log := event.New(funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{}))
+	Reread(present, path, log)
+	changed := strings.Replace(filled(t), "grace = 6s", "grace = 7s", 1)
+	assert.NilError(t, os.WriteFile(path, []byte(changed), 0o600))
+	Reread(present, path, log)
+	assert.Equal(t, len(lines), 2)
+	assert.Assert(t, strings.Contains(lines[0], `"outcome"="unchanged"`), lines[0])
+	assert.Assert(t, strings.Contains(lines[1], `"outcome"="changed`), lines[1])
+}
