Ask the former leader for ends that it could not store

Change: a new leader asks the former one, at the address in the lease, for the progress that is not stored; the former one ends its term. The question takes at most 150 ms.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -27,6 +27,8 @@
 	Term struct {
 		Epoch  int64
 		Writer *ledger.Writer
+		// Former is the address of the leader before, invalid for none.
+		Former netip.AddrPort
 		// Renewed returns the instant before the last renewal that the store
 		// has taken.
 		Renewed func() time.Time
@@ -249,7 +251,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	e.mu.Lock()
-	row, epoch, takeable := e.row, e.lease.Epoch+1, e.takeable()
+	row, epoch, takeable, former := e.row, e.lease.Epoch+1, e.takeable(), e.lease
 	e.mu.Unlock()
 	if !takeable {
 		// The lease has changed since the candidate was woken.
@@ -277,7 +279,11 @@
 	defer e.mu.Unlock()
 	e.row = store.Row{Key: ledger.LeaseKey, Value: value, Version: version}
 	e.lease, e.changed, e.renewed = lease, time.Now(), begun
-	return Term{Epoch: epoch, Writer: ledger.NewWriter(e.Table, epoch, version), Renewed: e.lastRenewal}, nil
+	term := Term{Epoch: epoch, Writer: ledger.NewWriter(e.Table, epoch, version), Renewed: e.lastRenewal}
+	if former.Node != e.Self.Node && !former.Released {
+		term.Former = former.Peer
+	}
+	return term, nil
 }
 
 func (e *Elector) lastRenewal() time.Time {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,7 @@
 	RowUnread      ID = 3045
 	StateRead      ID = 3046
 	StateLoaded    ID = 3047
+	HandOver       ID = 3048
 	UnitPlaced     ID = 3050
 	UnitStarted    ID = 3051
 	TaskRefused    ID = 3052
@@ -132,6 +133,7 @@
 	{RowUnread, "rowUnread", "A row cannot be decoded and is left out."},
 	{StateRead, "stateRead", "A new leader has read the jobs and the workers' runs."},
 	{StateLoaded, "stateLoaded", "A new leader has read the rows of jobs and workers."},
+	{HandOver, "handOver", "A new leader asked the former one for the progress that it could not store."},
 	{UnitPlaced, "unitPlaced", "Workers were chosen for a task or gang; reason says where the room comes from."},
 	{UnitStarted, "unitStarted", "The starts of a task or gang were sent."},
 	{TaskRefused, "taskRefused", "A worker refused a start; reason is the worker's."},
--- a/internal/graph/keep.go
+++ b/internal/graph/keep.go
@@ -113,6 +113,46 @@
 	return p
 }
 
+// Merge adds what another holder knows of the progress, and reports whether
+// that is news.
+func (p *Progress) Merge(k Kept) bool {
+	news := false
+	for n, ko := range k.Occurrences {
+		for i, ks := range ko.Steps {
+			done, ok := new(big.Int).SetString(ks.Done, hexadecimal)
+			for t := 0; ok && t < done.BitLen(); t++ {
+				if done.Bit(t) == 1 {
+					news = p.End(TaskID{p.Job.ID, n, i, t}, 0, Done, "") || news
+				}
+			}
+			news = p.mergeFailures(n, i, ks) || news
+		}
+	}
+	if p.Ended == "" && p.exhausted() {
+		p.Ended, p.Reason = FailedJob, reasonAttempts
+	}
+	return news
+}
+
+// mergeFailures takes the higher counts of failed runs of a step.
+func (p *Progress) mergeFailures(occurrence, step int, k KeptStep) bool {
+	news := false
+	for index, f := range k.Failures {
+		task := p.Task(TaskID{p.Job.ID, occurrence, step, index})
+		if task != nil && f.Count > task.Failures.Count {
+			task.Failures, news = f, true
+		}
+	}
+	if p.Task(TaskID{p.Job.ID, occurrence, step, 0}) == nil {
+		return news
+	}
+	s := &p.Occurrences[occurrence].Steps[step]
+	if k.Gang.Count > s.gang.Count {
+		s.gang, news = k.Gang, true
+	}
+	return news
+}
+
 // exhausted reports whether a task or a gang has no attempts left.
 func (p *Progress) exhausted() bool {
 	for _, o := range p.Occurrences {
--- a/internal/graph/progress_test.go
+++ b/internal/graph/progress_test.go
@@ -163,3 +163,20 @@
 		assert.Equal(t, again, id)
 	})
 }
+
+// TestMerge guards against ends that a former leader knows and could not store
+// being left out, or counted twice.
+func TestMerge(t *testing.T) {
+	former, next := NewProgress(chainJob()), NewProgress(chainJob())
+	former.Open(time.Unix(1000, 0))
+	next.Open(time.Unix(1000, 0))
+	former.End(task(0, 0), 1, Done, "")
+	former.End(task(1, 0), 1, Failed, "")
+	former.End(task(1, 1), 2, Done, "")
+	assert.Assert(t, next.Merge(former.Keep()))
+	assert.Assert(t, !next.Merge(former.Keep()), "the same progress is news twice")
+	assert.DeepEqual(t, next.Keep(), former.Keep())
+	former.End(task(1, 0), 5, Failed, "")
+	assert.Assert(t, next.Merge(former.Keep()))
+	assert.Equal(t, next.Phase(), FailedJob)
+}
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -19,6 +19,8 @@
 	commit struct {
 		batch ledger.Batch
 		ended []*job
+		// stored lists the jobs whose progress or end is in the batch.
+		stored []*job
 		// placed lists the placements that are in the batch.
 		placed []*placement
 		acks   []ack
@@ -133,6 +135,7 @@
 	p := j.progress
 	id := p.Job.ID
 	j.dirty = false
+	c.stored = append(c.stored, j)
 	if p.Ended == "" || len(j.placed) > 0 && p.Ended != graph.Completed {
 		kept := p.Keep()
 		for pl := range j.placed {
@@ -194,6 +197,13 @@
 
 // settle does what follows from a stored commit.
 func (t *term) settle(c commit) {
+	t.mu.Lock()
+	for _, j := range c.stored {
+		if !j.dirty {
+			delete(t.unstored, j.progress.Job.ID)
+		}
+	}
+	t.mu.Unlock()
 	for _, j := range c.ended {
 		p := j.progress
 		t.statuses.Store(p.Job.ID, Status{Phase: p.Ended, Queue: p.Job.Queue})
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -104,6 +104,9 @@
 // touch marks a job whose progress must be stored.
 func (t *term) touch(j *job) {
 	j.dirty = true
+	t.mu.Lock()
+	t.unstored[j.progress.Job.ID] = j.progress.Keep()
+	t.mu.Unlock()
 	if t.since.IsZero() {
 		t.since = time.Now()
 	}
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -39,10 +39,32 @@
 	}
 	t.loadWorkers(workers)
 	t.loadJobs(jobs, t.decodeProgress(progress))
+	t.takeOver(ctx)
 	t.Log.Write(event.StateLoaded, "jobs", len(t.jobs), "workers", t.unread)
 	return nil
 }
 
+// takeOver asks the former leader for what it could not store. It may have
+// heard of ends on workers that have left since.
+func (t *term) takeOver(ctx context.Context) {
+	if t.HandOver == nil || !t.Former.IsValid() {
+		return
+	}
+	progress, err := t.HandOver(ctx, t.Former, t.Epoch)
+	if err != nil {
+		t.Log.Write(event.HandOver, "former", t.Former.String(), "reason", err.Error())
+		return
+	}
+	t.Log.Write(event.HandOver, "former", t.Former.String(), "jobs", len(progress))
+	for id, k := range progress {
+		j, ok := t.jobs[id]
+		if ok && j.progress.Merge(k) {
+			t.touch(j)
+			t.finish(j)
+		}
+	}
+}
+
 // readAll reads a table and tries again until ctx ends.
 func (t *term) readAll(ctx context.Context, table string) (store.Changes, error) {
 	for {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -30,7 +32,10 @@
 		// ReadWorker decodes one of its rows.
 		WorkerList string
 		ReadWorker func(store.Row) (Listed, error)
-		Log        event.Log
+		// HandOver asks the leader of an earlier epoch for the progress that it
+		// could not store, and ends its term. It may be nil.
+		HandOver func(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error)
+		Log      event.Log
 	}
 
 	// Listed is a worker in the platform's list.
@@ -58,6 +63,11 @@
 		mu      sync.Mutex
 		waiting map[string]int
 		serving bool
+		// unstored is the progress that is not stored yet, and epoch and end
+		// belong to the present term.
+		unstored map[graph.ID]graph.Kept
+		epoch    int64
+		end      context.CancelFunc
 	}
 
 	// job is a live job of the term.
@@ -173,6 +183,9 @@
 		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), pool: pool.New(),
 		members: make(map[graph.TaskID]*member), waitRoom: make(map[*placement]bool), placed: make(map[*placement]bool),
 	}
+	s.mu.Lock()
+	s.unstored, s.epoch, s.end = make(map[graph.ID]graph.Kept), e.Epoch, cancel
+	s.mu.Unlock()
 	defer func() {
 		cancel()
 		t.agents.Wait()
@@ -187,6 +200,18 @@
 	return t.loop(ctx)
 }
 
+// HandedOver ends a term of an epoch before the given one, and returns the
+// progress that it has not stored.
+func (s *Scheduler) HandedOver(epoch int64) map[graph.ID]graph.Kept {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch == 0 || s.epoch >= epoch {
+		return nil
+	}
+	s.end()
+	return maps.Clone(s.unstored)
+}
+
 // post passes an event to the scheduler's goroutine.
 func (t *term) post(ev any) {
 	select {
--- a/internal/node/app.go
+++ b/internal/node/app.go
@@ -15,6 +15,7 @@
 	"github.com/baobabquay/baobabquay/internal/agent"
 	"github.com/baobabquay/baobabquay/internal/elect"
 	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/lead"
 	"github.com/baobabquay/baobabquay/internal/ledger"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
@@ -101,6 +102,9 @@
 		Table: table, Feed: feed, Calls: platform.WorkerCalls(p.client), Queues: p.queues,
 		Limits:     agent.Limits{Lease: min(leaseTime, s.LongestLease), Bound: s.LongestLease},
 		WorkerList: platform.WorkerTable, ReadWorker: platform.ReadWorker, Log: log,
+		HandOver: func(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error) {
+			return p.peers.handOver(ctx, former, epoch)
+		},
 	})
 	p.elector = elect.New(elect.Deps{Table: table, Feed: feed, Self: p.self, Lead: p.scheduler.Run, Log: log})
 	p.peers = newPeers(p.elector, p.scheduler)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,8 +13,10 @@
 	"github.com/baobabquay/baobabquay/internal/elect"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/lead"
+	"github.com/baobabquay/baobabquay/internal/ledger"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/shard"
+	"github.com/baobabquay/baobabquay/internal/store"
 )
 
 type (
@@ -94,6 +97,44 @@
 	}, true
 }
 
+// handOverLimit bounds the question of a new leader to the former one, which is
+// often gone.
+const handOverLimit = 150 * time.Millisecond
+
+// handOver asks the former leader for what it could not store.
+func (p *peers) handOver(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error) {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	res, err := p.client(former).HandOver(ctx, connect.NewRequest(&peerv1.HandOverRequest{Epoch: epoch}))
+	if err != nil {
+		return nil, fmt.Errorf("ask %v for its progress: %w", former, err)
+	}
+	progress := make(map[graph.ID]graph.Kept)
+	for id, value := range res.Msg.GetProgress() {
+		var k graph.Kept
+		if err := ledger.Decode(store.Row{Key: ledger.ProgressKey(graph.ID(id)), Value: value}, &k); err != nil {
+			return nil, fmt.Errorf("progress from %v: %w", former, err)
+		}
+		progress[graph.ID(id)] = k
+	}
+	return progress, nil
+}
+
+// HandOver answers a new leader.
+func (p *peers) HandOver(
+	_ context.Context, req *connect.Request[peerv1.HandOverRequest],
+) (*connect.Response[peerv1.HandOverResponse], error) {
+	res := &peerv1.HandOverResponse{Progress: make(map[string][]byte)}
+	for id, k := range p.scheduler.HandedOver(req.Msg.GetEpoch()) {
+		value, err := ledger.Encode(k)
+		if err != nil {
+			return nil, fmt.Errorf("hand over job %s: %w", id, err)
+		}
+		res.Progress[string(id)] = value
+	}
+	return connect.NewResponse(res), nil
+}
+
 // JobPhase answers another instance.
 func (p *peers) JobPhase(
 	_ context.Context, req *connect.Request[peerv1.JobPhaseRequest],
--- a/internal/peerv1/lead.connect.go
+++ b/internal/peerv1/lead.connect.go
@@ -37,6 +37,8 @@
 	LeadJobPhaseProcedure = "/baobabquay.peer.v1.Lead/JobPhase"
 	// LeadQueueLengthProcedure is the fully-qualified name of the Lead's QueueLength RPC.
 	LeadQueueLengthProcedure = "/baobabquay.peer.v1.Lead/QueueLength"
+	// LeadHandOverProcedure is the fully-qualified name of the Lead's HandOver RPC.
+	LeadHandOverProcedure = "/baobabquay.peer.v1.Lead/HandOver"
 )
 
 // LeadClient is a client for the baobabquay.peer.v1.Lead service.
@@ -45,6 +47,9 @@
 	JobPhase(context.Context, *connect.Request[JobPhaseRequest]) (*connect.Response[JobPhaseResponse], error)
 	// QueueLength tells how many jobs of a queue wait.
 	QueueLength(context.Context, *connect.Request[QueueLengthRequest]) (*connect.Response[QueueLengthResponse], error)
+	// HandOver ends a term of an earlier epoch, and tells the progress that its
+	// leader could not store.
+	HandOver(context.Context, *connect.Request[HandOverRequest]) (*connect.Response[HandOverResponse], error)
 }
 
 // NewLeadClient constructs a client for the baobabquay.peer.v1.Lead service. By default, it uses
@@ -70,6 +75,12 @@
 			connect.WithSchema(leadMethods.ByName("QueueLength")),
 			connect.WithClientOptions(opts...),
 		),
+		handOver: connect.NewClient[HandOverRequest, HandOverResponse](
+			httpClient,
+			baseURL+LeadHandOverProcedure,
+			connect.WithSchema(leadMethods.ByName("HandOver")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -77,6 +88,7 @@
 type leadClient struct {
 	jobPhase    *connect.Client[JobPhaseRequest, JobPhaseResponse]
 	queueLength *connect.Client[QueueLengthRequest, QueueLengthResponse]
+	handOver    *connect.Client[HandOverRequest, HandOverResponse]
 }
 
 // JobPhase calls baobabquay.peer.v1.Lead.JobPhase.
@@ -89,12 +101,20 @@
 	return c.queueLength.CallUnary(ctx, req)
 }
 
+// HandOver calls baobabquay.peer.v1.Lead.HandOver.
+func (c *leadClient) HandOver(ctx context.Context, req *connect.Request[HandOverRequest]) (*connect.Response[HandOverResponse], error) {
+	return c.handOver.CallUnary(ctx, req)
+}
+
 // LeadHandler is an implementation of the baobabquay.peer.v1.Lead service.
 type LeadHandler interface {
 	// JobPhase tells the phase of a job.
 	JobPhase(context.Context, *connect.Request[JobPhaseRequest]) (*connect.Response[JobPhaseResponse], error)
 	// QueueLength tells how many jobs of a queue wait.
 	QueueLength(context.Context, *connect.Request[QueueLengthRequest]) (*connect.Response[QueueLengthResponse], error)
+	// HandOver ends a term of an earlier epoch, and tells the progress that its
+	// leader could not store.
+	HandOver(context.Context, *connect.Request[HandOverRequest]) (*connect.Response[HandOverResponse], error)
 }
 
 // NewLeadHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -116,12 +136,20 @@
 		connect.WithSchema(leadMethods.ByName("QueueLength")),
 		connect.WithHandlerOptions(opts...),
 	)
+	leadHandOverHandler := connect.NewUnaryHandler(
+		LeadHandOverProcedure,
+		svc.HandOver,
+		connect.WithSchema(leadMethods.ByName("HandOver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/baobabquay.peer.v1.Lead/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case LeadJobPhaseProcedure:
 			leadJobPhaseHandler.ServeHTTP(w, r)
 		case LeadQueueLengthProcedure:
 			leadQueueLengthHandler.ServeHTTP(w, r)
+		case LeadHandOverProcedure:
+			leadHandOverHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +166,7 @@
 func (UnimplementedLeadHandler) QueueLength(context.Context, *connect.Request[QueueLengthRequest]) (*connect.Response[QueueLengthResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("baobabquay.peer.v1.Lead.QueueLength is not implemented"))
 }
+
+func (UnimplementedLeadHandler) HandOver(context.Context, *connect.Request[HandOverRequest]) (*connect.Response[HandOverResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("baobabquay.peer.v1.Lead.HandOver is not implemented"))
+}
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -135,6 +135,28 @@
 	return c.Seal()
 }
 
+// peer returns the address of an instance.
+func (n *node) peer() netip.AddrPort {
+	return netip.MustParseAddrPort("10.0.1." + strings.TrimPrefix(n.name, "n") + ":80")
+}
+
+// handOver asks an instance as another one does over the network.
+func (w *world) handOver(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error) {
+	for _, n := range w.nodes {
+		if n.peer() != former {
+			continue
+		}
+		l := n.life()
+		l.link.mu.Lock()
+		gone := time.Now().Before(l.link.frozen)
+		l.link.mu.Unlock()
+		if !gone {
+			return l.scheduler.HandedOver(epoch), nil
+		}
+	}
+	return nil, errSilence
+}
+
 // life returns the present life.
 func (n *node) life() life {
 	n.mu.Lock()
@@ -173,10 +195,13 @@
 		Table: table, Feed: feed, Calls: n.now.link.calls(w.machines.Calls()), Queues: keeper,
 		Limits: agent.Limits{Lease: 5 * time.Second, Bound: 6 * time.Second}, WorkerList: listTable,
 		ReadWorker: readListed, Log: log,
+		HandOver: func(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error) {
+			return w.handOver(ctx, former, epoch)
+		},
 	})
 	n.now.elector = elect.New(elect.Deps{
 		Table: table, Feed: feed, Lead: n.now.scheduler.Run, Log: log,
-		Self: elect.Self{Node: n.name, Name: fmt.Sprintf("%s.%d", n.name, n.lives), Peer: netip.MustParseAddrPort("10.0.0.2:80")},
+		Self: elect.Self{Node: n.name, Name: fmt.Sprintf("%s.%d", n.name, n.lives), Peer: n.peer()},
 	})
 	n.now.desk = accept.New(accept.Deps{
 		Queues: keeper, Ledger: ledger.New(table), Log: log,
