--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -141,7 +141,7 @@
 }
 
 // handOver asks an instance as another one does over the network.
-func (w *world) handOver(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error) {
+func (w *world) handOver(_ context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Kept, error) {
 	for _, n := range w.nodes {
 		if n.peer() != former {
 			continue
