--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -17,19 +17,21 @@
 // template is the file that the platform fills.
 const template = "../../deploy/settings.ini"
 
-// filled returns the template with values in place of its fields.
+// filled returns the template with a value for each key whose value has fields
+// of the platform.
 func filled(t *testing.T) string {
 	text, err := os.ReadFile(template)
 	assert.NilError(t, err)
 	values := map[string]string{
-		"node": "edge-1", "zone": "d1", "region": "r1", "listen.front": "10.1.0.19:8521", "listen.ready": "10.1.0.19:8523",
-		"ip": "10.1.0.19", "port_range.0": "7000", "port_range.1": "7001", "platform.address": "10.200.1.7:8524",
-		"advice": "", "bounds.hold_max_ms": "10000", "bounds.grace_s": "6", "bounds.status_s": "120",
+		"name": "edge-1", "domain": "d1", "region": "r1", "listen": "10.1.0.19:8521", "ready": "10.1.0.19:8523",
+		"peer": "10.1.0.19:7000", "metrics": "10.1.0.19:7001", "store": "10.200.1.7:8524", "advice": "",
+		"longestLease": "10000ms", "grace": "6s", "retention": "120s",
 	}
-	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(text), func(field string) string {
-		v, ok := values[strings.Trim(field, "{}")]
-		assert.Assert(t, ok, "the template has the field %s, which this test does not know", field)
-		return v
+	return regexp.MustCompile(`(?m)^(\w+) = .*\{\{.*$`).ReplaceAllStringFunc(string(text), func(line string) string {
+		key, _, _ := strings.Cut(line, " = ")
+		v, ok := values[key]
+		assert.Assert(t, ok, "the template has the key %s, which this test does not know", key)
+		return key + " = " + v
 	})
 }
 
