Count what a stop saves as kept when victims are chosen

Cause: a task that makes checkpoints saves one at its stop, yet the time since its last regular checkpoint counted as lost, so that tasks which lose everything were stopped in its place. Change: a victim that makes checkpoints loses at most the time of loading one.

--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -96,6 +96,9 @@
 	// patience is the part of a unit's estimate for which it waits for room
 	// near its data before it starts elsewhere.
 	patience = 0.8
+	// reload is the time that a task needs to resume from a checkpoint; the
+	// users' pages give 0.1 and 0.6 s.
+	reload = 600 * time.Millisecond
 	// maxMoves is how often a unit is stopped for others before it is left
 	// alone.
 	maxMoves = 2
@@ -452,16 +455,18 @@
 	return r.used[w]+accelerators(u) <= r.Guarantees[w]
 }
 
-// lost returns the work in core-seconds that a stop of p throws away.
+// lost returns the work in core-seconds that a stop of p throws away. A stop
+// saves the progress of tasks that make checkpoints, which then lose the time
+// of loading it.
 func (r *round) lost(p *Placed) float64 {
 	if p.Since.IsZero() {
 		return 0
 	}
-	from := p.Since
-	if p.Saved.After(from) {
-		from = p.Saved
+	ran := r.now.Sub(p.Since)
+	if p.Unit.Spec().Checkpoints {
+		ran = min(ran, reload)
 	}
-	return r.now.Sub(from).Seconds() * weight(p.Unit.Spec().Demand) * float64(len(p.Unit.Members))
+	return ran.Seconds() * weight(p.Unit.Spec().Demand) * float64(len(p.Unit.Members))
 }
 
 // weight returns a demand in cores.
