Limit each try of a submission

Cause: a submission on a connection to the store that had gone silent waited out the caller's whole time, since only the leader's transactions had a limit for each call.

--- a/internal/ledger/accept.go
+++ b/internal/ledger/accept.go
@@ -56,7 +56,7 @@
 	}
 	unsure := false
 	for {
-		_, err := l.table.Commit(ctx, txn)
+		err := l.try(ctx, txn)
 		switch {
 		case err == nil, store.IsConflict(err):
 			// A conflict means that the job, or its end, is stored already.
@@ -72,6 +72,15 @@
 	}
 }
 
+// try commits once. The connection may have gone silent, so that a call has a
+// limit of its own.
+func (l *Ledger) try(ctx context.Context, txn store.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	_, err := l.table.Commit(ctx, txn)
+	return err
+}
+
 // Cancel marks a job as cancelled. It tries again until ctx ends.
 func (l *Ledger) Cancel(ctx context.Context, id graph.ID) (Outcome, error) {
 	for {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -42,6 +42,7 @@
 			{name: "answer lost once", faults: []fakes.Fault{{Kind: fakes.Lost, Next: 1}}},
 			{name: "answers lost", faults: []fakes.Fault{{Kind: fakes.Lost}}},
 			{name: "slower than the caller", faults: []fakes.Fault{{Kind: fakes.Slow, Delay: 5 * time.Second}}},
+			{name: "one call on a silent connection", faults: []fakes.Fault{{Kind: fakes.Slow, Delay: time.Minute, Next: 1}}},
 			{name: "sent before", before: func(tbl store.Table) error {
 				_, err := New(tbl).Accept(t.Context(), testJob())
 				return err
