Reach the store through another instance while this one cannot

Cause: while the store did not answer single instances, these gave callers no answer for the whole of their time (2.75 s, status 504) until the balancer left them, and a leader among them was replaced. Ruled out: the scheduler; the jobs that were stored were placed within 10 ms. Change: package detour makes a call through another instance, too, when no answer came in time or the direct way failed of late. Each instance keeps its address in the table instances.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 
 proto: ## generate the messages between instances; needs protoc, protoc-gen-go and protoc-gen-connect-go
 	cd internal/peerv1 && protoc --go_out=. --go_opt=paths=source_relative \
-		--connect-go_out=. --connect-go_opt=paths=source_relative,package_suffix= peer.proto lead.proto
+		--connect-go_out=. --connect-go_opt=paths=source_relative,package_suffix= peer.proto lead.proto table.proto
 
 $(LINT):
 	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,8 @@
 	ShardReady     ID = 3023
 	StoreDown      ID = 3030
 	StoreBack      ID = 3031
+	StoreWay       ID = 3032
+	BookFailed     ID = 3033
 	TermBegun      ID = 3040
 	TermEnded      ID = 3041
 	LeaderSeen     ID = 3042
@@ -125,6 +127,8 @@
 	{ShardReady, "shardReady", "All workers of a shard that answer are fenced and read."},
 	{StoreDown, "storeDown", "The table service does not answer."},
 	{StoreBack, "storeBack", "The table service answers again."},
+	{StoreWay, "storeWay", "Calls of the table service fail or are answered directly again; in between other instances make them."},
+	{BookFailed, "bookFailed", "The rows of the instances cannot be read or written; the addresses known so far are used."},
 	{TermBegun, "termBegun", "This instance became the leader, which gives orders to the workers."},
 	{TermEnded, "termEnded", "This instance no longer leads; reason says why."},
 	{LeaderSeen, "leaderSeen", "The lease names another leader or epoch."},
--- a/internal/node/app.go
+++ b/internal/node/app.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/baobabquay/baobabquay/internal/accept"
 	"github.com/baobabquay/baobabquay/internal/agent"
+	"github.com/baobabquay/baobabquay/internal/detour"
 	"github.com/baobabquay/baobabquay/internal/elect"
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/graph"
@@ -30,17 +31,23 @@
 type (
 	// parts are the components of an instance.
 	parts struct {
-		settings  Settings
-		log       event.Log
-		self      elect.Self
-		client    *platform.Client
+		settings Settings
+		log      event.Log
+		self     elect.Self
+		client   *platform.Client
+		// http makes the calls to other instances.
+		http      *http.Client
 		queues    *queues.Keeper
 		scheduler *lead.Scheduler
 		elector   *elect.Elector
 		desk      *accept.Desk
-		peers     *peers
-		contact   contact
-		stopping  atomic.Bool
+		book      *detour.Book
+		// table and feed reach the store, through another instance if need be.
+		table    store.Table
+		feed     store.Feed
+		peers    *peers
+		contact  contact
+		stopping atomic.Bool
 
 		end context.CancelFunc
 		run sync.WaitGroup
@@ -97,7 +104,8 @@
 		settings: s, log: log, client: platform.NewClient(s.Store), queues: queues.NewKeeper(log),
 		self: elect.Self{Node: s.Name, Name: s.Name + "-" + uuid.NewString()[:8], Peer: s.Peer, Cores: s.Cores},
 	}
-	table, feed := p.client.Table(), p.client.Feed()
+	p.buildDetour()
+	table, feed := p.table, p.feed
 	p.scheduler = lead.New(lead.Deps{
 		Table: table, Feed: feed, Calls: platform.WorkerCalls(p.client), Queues: p.queues,
 		Limits:     agent.Limits{Lease: min(leaseTime, s.LongestLease), Bound: s.LongestLease},
@@ -107,7 +115,7 @@
 		},
 	})
 	p.elector = elect.New(elect.Deps{Table: table, Feed: feed, Self: p.self, Lead: p.scheduler.Run, Log: log})
-	p.peers = newPeers(p.elector, p.scheduler)
+	p.peers = newPeers(p.elector, p.scheduler, p.http)
 	p.desk = accept.New(accept.Deps{
 		Queues: p.queues, Ledger: ledger.New(table), Log: log,
 		Leader: accept.Leader{Phase: p.peers.phase, Queue: p.peers.queue},
@@ -115,6 +123,20 @@
 	return p
 }
 
+// buildDetour puts the other instances behind the direct way to the store.
+func (p *parts) buildDetour() {
+	p.http = newPeerHTTP()
+	p.book = detour.NewBook(detour.BookDeps{
+		Table: p.client.Table(), Feed: p.client.Feed(), Name: p.self.Node, Peer: p.self.Peer, Log: p.log,
+		Leader: func() netip.AddrPort { return p.elector.Leader().Peer },
+	})
+	d := detour.New(detour.Deps{
+		Table: p.client.Table(), Feed: p.client.Feed(), Via: newRowsClients(p.http).calls(),
+		Others: p.book.Others, Failed: p.book.Avoid, Log: p.log,
+	})
+	p.table, p.feed = d.Table(), d.Feed()
+}
+
 func (p *parts) start(context.Context) error {
 	if err := p.listen(); err != nil {
 		return err
@@ -123,11 +145,12 @@
 	stand, standEnd := context.WithCancel(ctx)
 	p.end, p.stand = end, standEnd
 	orders := store.Follower{
-		Feed: p.client.Feed(), Table: platform.OrderTable, Patience: configPatience,
+		Feed: p.feed, Table: platform.OrderTable, Patience: configPatience,
 		Apply: p.applyOrders, Trouble: p.noteContact,
 	}
 	p.run.Go(func() { orders.Run(ctx) })
 	p.run.Go(func() { p.elector.Run(stand) })
+	p.run.Go(func() { p.book.Run(ctx) })
 	p.log.Write(event.InstanceReady, "listen", p.settings.Listen.String(), "peer", p.settings.Peer.String())
 	return nil
 }
@@ -136,6 +159,7 @@
 func (p *parts) listen() error {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peerv1.NewLeadHandler(p.peers))
+	peerMux.Handle(peerv1.NewRowsHandler(newRows(p.client.Table(), p.client.Feed())))
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	for _, s := range []struct {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -39,16 +39,22 @@
 	askLimit = 400 * time.Millisecond
 	// peerDial bounds the opening of a connection to the leader.
 	peerDial = 300 * time.Millisecond
+	// idlePeerConns is the number of unused connections kept to one instance.
+	idlePeerConns = 8
 	// clientParts is the number of locks over the connections.
 	clientParts = 4
 )
 
-func newPeers(e *elect.Elector, s *lead.Scheduler) *peers {
+func newPeers(e *elect.Elector, s *lead.Scheduler, h *http.Client) *peers {
+	return &peers{elector: e, scheduler: s, clients: shard.New[addressKey, peerv1.LeadClient](clientParts), http: h}
+}
+
+// newPeerHTTP returns the client for calls to other instances.
+func newPeerHTTP() *http.Client {
 	dialer := &net.Dialer{Timeout: peerDial}
-	return &peers{
-		elector: e, scheduler: s, clients: shard.New[addressKey, peerv1.LeadClient](clientParts),
-		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
-	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: idlePeerConns,
+	}}
 }
 
 func (p *peers) client(to netip.AddrPort) peerv1.LeadClient {
