Tell the decisions about a job from running instances

Cause: the chain from a job to its cause needed the log files of all instances, and the setting for log lines had no effect. The setting decisions of the section logs is applied. Names of events are looked up in a map instead of a search through the catalogue for each line.

--- a/cmd/baobabquay/main.go
+++ b/cmd/baobabquay/main.go
@@ -23,7 +23,7 @@
 	code := cmds.Run(ctx, cmds.Env{
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr,
 		ReadFile: os.ReadFile, NewKey: keys.Generate, HashOf: keys.HashOf,
-		Getenv: os.Getenv, Connect: client.New,
+		Getenv: os.Getenv, Connect: client.New, Events: client.Events,
 	}, os.Args[1:])
 	stop()
 	os.Exit(int(code))
--- a/cmd/baobabquayd/main.go
+++ b/cmd/baobabquayd/main.go
@@ -92,7 +92,7 @@
 			node.Reread(settings, path, event.New(logger))
 		}
 	}()
-	return exitCode(serve(node.New(settings, logger)))
+	return exitCode(serve(node.New(settings, sink)))
 }
 
 func exitCode(err error) int {
--- a/internal/cmds/jobs.go
+++ b/internal/cmds/jobs.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/baobabquay/baobabquay/pkg/client"
 	"github.com/baobabquay/baobabquay/pkg/wire"
 )
 
+// eventTime is the form of the time of a decision; decisions about one job
+// are milliseconds apart.
+const eventTime = "15:04:05.000"
+
 var workspaceFlag = flag{
 	long: "workspace", short: "w", arg: "NAME", summary: "workspace that an operator asks about",
 	text: func(o *options) *string { return &o.workspace },
@@ -27,11 +35,18 @@
 
 func newExplain() *command {
 	return &command{
-		name: "explain", args: "JOB", run: runExplain, flags: append(serverFlags(), workspaceFlag),
-		summary: "tell an operator why a job waits",
-		details: "The flag --workspace is required, because two workspaces can have jobs of the same name.",
+		name: "explain", args: "JOB", run: runExplain,
+		flags: append(serverFlags(), workspaceFlag, flag{
+			long: "from", arg: "ADDR[,ADDR]", summary: "metrics addresses of the instances whose decisions are printed",
+			text: func(o *options) *string { return &o.from },
+		}),
+		summary: "tell an operator why a job waits, or what was decided about it",
+		details: "Without --from, the flag --workspace is required, because two workspaces can have jobs of the same\n" +
+			"name. With --from, the decisions that these instances still know are printed in the order of their\n" +
+			"times; an instance keeps its last 4,096.",
 		examples: []example{
 			{"baobabquay explain req-proof-17 --workspace foundryA", "see what the job waits for"},
+			{"baobabquay explain 5c0e7a21d94b36f8 --from 10.1.0.19:7001,10.2.0.35:7001", "see what was decided about the job"},
 		},
 	}
 }
@@ -66,6 +81,9 @@
 	if err != nil {
 		return err
 	}
+	if c.options.from != "" {
+		return c.explainFrom(ctx, id)
+	}
 	if c.options.workspace == "" {
 		return usageErrorf("the flag --workspace is missing")
 	}
@@ -77,3 +95,33 @@
 		return c.print(e, "job "+e.ID+"\nstate "+e.State+"\nreason "+e.Reason+"\n")
 	})
 }
+
+// explainFrom prints the decisions about a job that instances still know.
+func (c *call) explainFrom(ctx context.Context, id string) error {
+	from, err := parseServers(c.options.from)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
+	defer cancel()
+	events, failure := c.env.Events(ctx, from, id)
+	t := table{{"TIME", "INSTANCE", "EVENT", "DECIDEDBY"}}
+	for _, e := range events.Events {
+		t = append(t, []string{e.At.UTC().Format(eventTime), e.Instance, e.Name, fieldsText(e.Fields)})
+	}
+	if err := c.print(events, t.String()); err != nil {
+		return err
+	}
+	return failure
+}
+
+// fieldsText returns the fields in the order of their names.
+func fieldsText(fields map[string]any) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if text := fmt.Sprint(fields[name]); text != "" {
+			parts = append(parts, name+"="+text)
+		}
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/cmds/run.go
+++ b/internal/cmds/run.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabquay/baobabquay/internal/inifmt"
 	"github.com/baobabquay/baobabquay/internal/keys"
 	"github.com/baobabquay/baobabquay/pkg/client"
+	"github.com/baobabquay/baobabquay/pkg/wire"
 )
 
 type (
@@ -30,6 +32,8 @@
 		Getenv func(name string) string
 		// Connect returns the client of the commands that need a server.
 		Connect func(s client.Settings) *client.Client
+		// Events returns the decisions about a job that instances know.
+		Events func(ctx context.Context, from []netip.AddrPort, id string) (wire.Events, error)
 	}
 
 	// codeError is an error with the exit code that it leads to.
--- a/internal/cmds/run_test.go
+++ b/internal/cmds/run_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -15,6 +18,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/inifmt"
 	"github.com/baobabquay/baobabquay/internal/keys"
+	"github.com/baobabquay/baobabquay/pkg/wire"
 )
 
 const (
@@ -34,6 +38,12 @@
 		ReadFile: func(name string) ([]byte, error) { return os.ReadFile(filepath.Join("testdata", name)) },
 		NewKey:   func() (string, error) { return keyText, nil },
 		HashOf:   func(string) (keys.Hash, error) { return hash, nil },
+		Events: func(_ context.Context, from []netip.AddrPort, id string) (wire.Events, error) {
+			return wire.Events{Events: []wire.Event{{
+				At: time.Unix(0, 0), Instance: from[0].String(), Name: "unitPlaced", Number: 3050,
+				Fields: map[string]any{"job": id, "worker": "w1", "reason": "room", "rack": ""},
+			}}}, nil
+		},
 	}, strings.Fields(line))
 	return code, fmt.Sprintf("$ baobabquay %s\n%s--- standard error\n%s--- exit code %d\n", line, &out, &errOut, code)
 }
@@ -52,6 +62,9 @@
 		{"check-mistakes-json", Mistakes, "config check base.ini bad.ini -o=json"},
 		{"check-absent", Failed, "config check absent.ini"},
 		{"show", OK, "config show base.ini -- overlay.ini"},
+		{"explain-from", OK, "explain a1 --from 10.0.0.1:7001"},
+		{"explain-from-json", OK, "explain a1 --from 10.0.0.1:7001,10.0.0.2:7001 --output json"},
+		{"explain-from-bad", Usage, "explain a1 --from nowhere"},
 		{"show-json", OK, "config show base.ini --output json"},
 		{"diff", OK, "config diff base.ini -- base.ini overlay.ini"},
 		{"diff-json", OK, "config diff base.ini --output=json -- base.ini overlay.ini"},
--- a/internal/cmds/tree.go
+++ b/internal/cmds/tree.go
@@ -48,8 +48,10 @@
 		inForce bool
 		// workspace is the one that an operator asks about.
 		workspace string
-		job       jobOptions
-		request   requestOptions
+		// from lists the instances whose decisions are printed.
+		from    string
+		job     jobOptions
+		request requestOptions
 	}
 
 	// call is one run of a command.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -170,8 +170,21 @@
 	{SettingsReread, "settingsReread", "The settings were read again on a signal; outcome says whether they have changed."},
 }
 
-// counters has a counter of each event.
-var counters = newCounters()
+var (
+	// counters has a counter of each event.
+	counters = newCounters()
+	// eventNames has the names of the catalogue: a busy instance writes hundreds
+	// of events a second.
+	eventNames = newNames()
+)
+
+func newNames() map[ID]string {
+	names := make(map[ID]string, len(catalogue))
+	for _, e := range catalogue {
+		names[e.ID] = e.Name
+	}
+	return names
+}
 
 func newCounters() map[ID]*metrics.Counter {
 	m := make(map[ID]*metrics.Counter, len(catalogue))
@@ -203,10 +216,8 @@
 
 // String returns the name of the event.
 func (id ID) String() string {
-	for _, e := range catalogue {
-		if e.ID == id {
-			return e.Name
-		}
+	if name, ok := eventNames[id]; ok {
+		return name
 	}
 	return "unknown"
 }
--- /dev/null
+++ b/internal/event/recent_test.go
@@ -0,0 +1,36 @@
+package event
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/golden"
+)
+
+// TestRecent guards against a chain of events that lacks the tasks of a job or
+// has those of another one, and against a log that grows without a bound.
+func TestRecent(t *testing.T) {
+	var out bytes.Buffer
+	s := NewSink(&out)
+	l := New(s.Logger())
+	l.Write(JobAccepted, "job", "a1")
+	l.Write(JobAccepted, "job", "b1")
+	l.Write(UnitPlaced, "job", "a1", "worker", "w1")
+	l.Write(TaskEnded, "task", "a1.0.0.0", "how", "done")
+	l.Write(JobReclaimed, "job", "b1", "for", "a1")
+	var b bytes.Buffer
+	for _, query := range []string{"?id=a1", "?id=c1", ""} {
+		w := httptest.NewRecorder()
+		s.Recent.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/events"+query, nil))
+		fmt.Fprintf(&b, "%q: %d, %d lines\n", query, w.Code, bytes.Count(w.Body.Bytes(), []byte("\n")))
+	}
+	for range recentLines {
+		l.Write(JobAccepted, "job", "d1")
+	}
+	fmt.Fprintf(&b, "after %d others: %d lines\n", recentLines, len(s.Recent.Find("a1")))
+	s.Close()
+	golden.Assert(t, b.String(), "recent.golden")
+}
--- a/internal/event/sink.go
+++ b/internal/event/sink.go
@@ -13,6 +13,8 @@
 // Sink writes log lines without ever holding up the code that logs. Lines that
 // come faster than the output takes them are dropped and counted.
 type Sink struct {
+	// Recent keeps the last lines, also those that were dropped.
+	Recent  *Recent
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
@@ -26,7 +28,7 @@
 
 // NewSink returns a sink that writes to out until Close.
 func NewSink(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, sinkLines)}
+	s := &Sink{Recent: NewRecent(), out: out, lines: make(chan []byte, sinkLines)}
 	s.done.Go(s.run)
 	return s
 }
@@ -46,8 +48,10 @@
 
 // Write queues a line. It never fails.
 func (s *Sink) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...)
+	s.Recent.Add(kept)
 	select {
-	case s.lines <- append([]byte(nil), line...):
+	case s.lines <- kept:
 	default:
 		s.dropped.Add(1)
 	}
@@ -57,6 +61,8 @@
 // run writes what waits, several lines in one call.
 func (s *Sink) run() {
 	for line := range s.lines {
+		// The line itself is kept elsewhere and must not grow in place.
+		line = line[:len(line):len(line)]
 		for n := len(s.lines); n > 0; n-- {
 			line = append(line, <-s.lines...)
 		}
--- a/internal/node/app.go
+++ b/internal/node/app.go
@@ -33,6 +33,7 @@
 	parts struct {
 		settings Settings
 		log      event.Log
+		recent   *event.Recent
 		self     elect.Self
 		client   *platform.Client
 		// http makes the calls to other instances.
@@ -84,13 +85,13 @@
 	idleLimit   = 30 * time.Second
 )
 
-// New returns the app of an instance.
-func New(s Settings, logger logr.Logger) *fx.App {
+// New returns the app of an instance that logs to the sink.
+func New(s Settings, sink *event.Sink) *fx.App {
 	return fx.New(
 		fx.NopLogger,
-		fx.Supply(s),
+		fx.Supply(s, sink.Recent),
 		fx.Provide(
-			func() event.Log { return event.New(logger).With("instance", s.Name) },
+			func() event.Log { return newLog(s, sink) },
 			newParts,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, p *parts) {
@@ -99,9 +100,19 @@
 	)
 }
 
-func newParts(s Settings, log event.Log) *parts {
+// newLog returns the log of an instance. Events are counted also where their
+// lines are not wanted.
+func newLog(s Settings, sink *event.Sink) event.Log {
+	logger := logr.Discard()
+	if s.Logs {
+		logger = sink.Logger()
+	}
+	return event.New(logger).With("instance", s.Name)
+}
+
+func newParts(s Settings, log event.Log, recent *event.Recent) *parts {
 	p := &parts{
-		settings: s, log: log, client: platform.NewClient(s.Store), queues: queues.NewKeeper(log),
+		settings: s, log: log, recent: recent, client: platform.NewClient(s.Store), queues: queues.NewKeeper(log),
 		self: elect.Self{Node: s.Name, Name: s.Name + "-" + uuid.NewString()[:8], Peer: s.Peer, Cores: s.Cores},
 	}
 	p.buildDetour()
@@ -161,6 +172,7 @@
 	peerMux.Handle(peerv1.NewLeadHandler(p.peers))
 	peerMux.Handle(peerv1.NewRowsHandler(newRows(p.client.Table(), p.client.Feed())))
 	metricsMux := http.NewServeMux()
+	metricsMux.Handle("GET /events", p.recent)
 	metricsMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	for _, s := range []struct {
 		address netip.AddrPort
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	settings, err := node.ReadSettings(path)
-//	app := node.New(settings, logger)
+//	app := node.New(settings, sink)
 //	err = app.Start(ctx)
 //	...
 //	err = app.Stop(ctx)
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -84,3 +85,15 @@
 	assert.Assert(t, strings.Contains(lines[0], `"outcome"="unchanged"`), lines[0])
 	assert.Assert(t, strings.Contains(lines[1], `"outcome"="changed`), lines[1])
 }
+
+// TestLogs guards against a setting without an effect: lines that are not
+// wanted and come all the same.
+func TestLogs(t *testing.T) {
+	for _, wanted := range []bool{true, false} {
+		var out bytes.Buffer
+		sink := event.NewSink(&out)
+		newLog(Settings{Name: "n1", Logs: wanted}, sink).Write(event.InstanceReady)
+		sink.Close()
+		assert.Equal(t, out.Len() > 0, wanted)
+	}
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -22,6 +22,22 @@
 		Adjacency    string `json:"adjacency,omitempty"`
 	}
 
+	// Event is a decision that an instance has logged.
+	Event struct {
+		At       time.Time `json:"at"`
+		Instance string    `json:"instance"`
+		Name     string    `json:"name"`
+		// Number is that of the catalogue.
+		Number int `json:"number"`
+		// Fields are what decided it, and the outcome.
+		Fields map[string]any `json:"fields"`
+	}
+
+	// Events are the decisions about one job in the order of their times.
+	Events struct {
+		Events []Event `json:"events"`
+	}
+
 	// Submission asks for a job.
 	Submission struct {
 		RequestID  string   `json:"requestId,omitempty"`
