Pause between whole reads while the store drops its history again and again

Cause: a follower whose read returned a version that the store no longer knew read the whole table again at once. Ruled out: a loop without calls; the store's answers come between the reads. Change: the first read after a drop is at once, the next ones after 150 ms, doubling to 600 ms, until a wait succeeds.

--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -58,6 +58,9 @@
 	// feedRetry is the pause after a failed call; a follower must see a new
 	// configuration within 2.5 s of the store's return.
 	feedRetry = 150 * time.Millisecond
+	// mostRetry bounds the pause between whole reads while the store drops its
+	// history again and again; it doubles from feedRetry on.
+	mostRetry = 600 * time.Millisecond
 )
 
 // Name returns the part of a key behind the table.
@@ -72,6 +75,8 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	version, whole := int64(0), true
+	// again is the pause before the table is read once more.
+	again := time.Duration(0)
 	for ctx.Err() == nil {
 		var c Changes
 		var err error
@@ -86,9 +91,17 @@
 		f.Trouble(err)
 		switch {
 		case err == nil:
+			if !whole {
+				again = 0
+			}
 			version, whole = max(version, c.Version), false
 		case errors.Is(err, ErrCompacted):
-			whole = true
+			// A store whose reads lag behind its history returns versions that it
+			// no longer knows: the first read is at once, the next ones are not.
+			if again > 0 && pause(ctx, again) != nil {
+				return
+			}
+			whole, again = true, min(max(2*again, feedRetry), mostRetry)
 		default:
 			if pause(ctx, feedRetry) != nil {
 				return
