Decide only after changes, and rest between long decisions

Cause: after the faster search the leader of 350 workers still spent 2.5 of 3 s on decisions, most of which found what the one before had found, since each report was followed by one. Change: a decision follows a change of jobs, placements or workers, or 250 ms without one; after a decision the leader does other things for twice as long as it took. Stalled tasks are looked for every 100 ms, and failure domains compared before all workers are gone through.

--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -26,6 +26,7 @@
 }
 
 func (t *term) applyJob(row store.Row) {
+	t.rounds.changed = true
 	var j graph.Job
 	if err := ledger.Decode(row, &j); err != nil {
 		t.Log.Write(event.RowUnread, "key", row.Key, "reason", err.Error())
@@ -69,6 +70,7 @@
 	for _, j := range t.jobs {
 		if !j.due.IsZero() && !now.Before(j.due) {
 			j.due = j.progress.Open(now)
+			t.rounds.changed = true
 		}
 	}
 }
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -182,6 +182,7 @@
 		return
 	}
 	p.Stopping = true
+	t.rounds.changed = true
 	t.Log.Write(event.UnitStopped, "job", string(p.job.progress.Job.ID), "step", p.Unit.Step,
 		"occurrence", p.Unit.Occurrence, "run", p.run, "tasks", p.left, "reason", reason)
 	room := p.Unit.Spec().Room()
@@ -207,6 +208,7 @@
 		return
 	}
 	m.over = true
+	t.rounds.changed = true
 	delete(t.members, m.task)
 	delete(m.worker.members, m.task)
 	m.worker.agent.Expect(len(m.worker.members))
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -176,7 +176,6 @@
 		}
 		if r.Saved != "" && r.Saved != m.place.job.progress.Saved(r.Task) {
 			m.place.job.progress.Save(r.Task, r.Saved)
-			m.place.Saved = now
 		}
 		if m.confirmed.IsZero() {
 			m.confirmed = now
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -91,6 +91,17 @@
 		step       int
 	}
 
+	// rounds tells when the next decision is due.
+	rounds struct {
+		// changed reports whether something has changed that decisions depend on.
+		changed bool
+		// last is the instant of the last decision, and next the earliest one of
+		// the next.
+		last   time.Time
+		next   time.Time
+		stalls time.Time // when stalled tasks were last looked for
+	}
+
 	// term is the state of one term. Its goroutine alone uses it, except for
 	// the inbox.
 	term struct {
@@ -107,6 +118,8 @@
 		// waitRoom lists the placements that are not started yet.
 		waitRoom map[*placement]bool
 		placed   map[*placement]bool
+		// out lists the failure domains that are out of service.
+		out map[string]bool
 
 		unread int // workers of earlier terms that have not answered
 		// listedOnce reports whether the platform's list has been read.
@@ -117,6 +130,7 @@
 		since      time.Time // when the first unstored change was made
 		urgent     bool      // whether a start waits for it
 		waits      string    // the last reported counts of waiting units
+		rounds     rounds
 		agents     sync.WaitGroup
 	}
 )
@@ -133,6 +147,14 @@
 	// and gatherStart how long a start waits.
 	gather      = 25 * time.Millisecond
 	gatherStart = 2 * time.Millisecond
+	// roundRest is how many times as long as a decision took the leader does other
+	// things before the next one: with hundreds of units waiting in a full site
+	// a decision takes tens of milliseconds, and reports and renewals must not
+	// wait for one decision after another.
+	roundRest = 2
+	// stallsEvery is the time between two searches for stalled tasks, which have
+	// made no progress for 1.5 s.
+	stallsEvery = 100 * time.Millisecond
 	// statusParts is the number of locks over the shown phases.
 	statusParts = 16
 	// runsPerEpoch bounds the starts of one job in one term.
@@ -236,8 +258,16 @@
 		}
 		now := time.Now()
 		t.openDue(now)
-		t.findStalls(now)
-		t.decide(now)
+		t.closeDomains()
+		if now.Sub(t.rounds.stalls) >= stallsEvery {
+			t.rounds.stalls = now
+			t.findStalls(now)
+		}
+		if t.rounds.due(now) {
+			t.rounds.changed = false
+			t.decide(now)
+			t.rounds.done(now, time.Now())
+		}
 		t.withdraw()
 		t.launch(now)
 		t.publishWaiting()
@@ -278,6 +308,17 @@
 	return nil
 }
 
+// due reports whether a decision is to be made: something has changed, or the
+// time for which only time has passed is over.
+func (r *rounds) due(now time.Time) bool {
+	return !now.Before(r.next) && (r.changed || now.Sub(r.last) >= tick)
+}
+
+// done notes a decision.
+func (r *rounds) done(began, ended time.Time) {
+	r.last, r.next = began, ended.Add(roundRest*ended.Sub(began))
+}
+
 // nextTimer returns how long the loop may wait without an event.
 func (t *term) nextTimer(now time.Time) time.Duration {
 	const idle = time.Second
@@ -288,6 +329,9 @@
 	if !t.since.IsZero() && !t.inFlight {
 		wait = min(wait, max(t.gatherUntil().Sub(now), time.Millisecond))
 	}
+	if t.rounds.changed {
+		wait = min(wait, max(t.rounds.next.Sub(now), time.Millisecond))
+	}
 	for _, j := range t.jobs {
 		if !j.due.IsZero() {
 			wait = min(wait, max(time.Until(j.due), time.Millisecond))
@@ -302,7 +346,6 @@
 	if config == nil {
 		return
 	}
-	t.closeDomains()
 	view := &plan.View{
 		Pool: t.pool, Waiting: t.ready(), Guarantees: config.Guarantees(), Avoid: t.avoid, Present: t.present,
 	}
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/agent"
@@ -146,12 +147,20 @@
 	if p == nil {
 		return
 	}
-	p.Closed = !w.listed || w.draining || !w.answered || w.silent || !w.recorded ||
-		t.Queues.OutOfService()[w.info.Domain]
+	closed := !w.listed || w.draining || !w.answered || w.silent || !w.recorded || t.out[w.info.Domain]
+	if closed != p.Closed {
+		p.Closed = closed
+		t.rounds.changed = true
+	}
 }
 
 // closeDomains applies the failure domains that are out of service.
 func (t *term) closeDomains() {
+	out := t.Queues.OutOfService()
+	if maps.Equal(out, t.out) {
+		return
+	}
+	t.out = out
 	for _, w := range t.workers {
 		t.reopen(w)
 	}
