--- a/internal/event/recent.go
+++ b/internal/event/recent.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/http"
 	"sync"
 )
 
@@ -45,19 +44,3 @@
 	}
 	return found
 }
-
-// ServeHTTP answers GET /events?id=ID with the lines of the identifier.
-func (r *Recent) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	id := req.URL.Query().Get("id")
-	if id == "" {
-		http.Error(w, "the parameter id is missing", http.StatusBadRequest)
-		return
-	}
-	w.Header().Set("Content-Type", "application/jsonl")
-	for _, line := range r.Find(id) {
-		if _, err := w.Write(line); err != nil {
-			// The operator has left; there is nobody else to tell.
-			return
-		}
-	}
-}
--- a/internal/node/app.go
+++ b/internal/node/app.go
@@ -172,7 +172,7 @@
 	peerMux.Handle(peerv1.NewLeadHandler(p.peers))
 	peerMux.Handle(peerv1.NewRowsHandler(newRows(p.client.Table(), p.client.Feed())))
 	metricsMux := http.NewServeMux()
-	metricsMux.Handle("GET /events", p.recent)
+	metricsMux.Handle("GET /events", serveEvents(p.recent))
 	metricsMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	for _, s := range []struct {
 		address netip.AddrPort
