--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -61,8 +61,21 @@
 		Waits  map[string]int
 	}
 
+	// Policy has the decisions that depend on the load. A replay of a load
+	// pattern sets another one of them beside the default.
+	Policy struct {
+		// Order sorts the waiting units, the first to be placed first.
+		Order func(now time.Time, units []graph.Unit)
+		// Lost returns the work in core-seconds that a stop throws away.
+		Lost func(now time.Time, p *Placed) float64
+		// WaitsNear reports whether a unit waits for room near its data rather
+		// than start elsewhere. Urgent units that wait make room there.
+		WaitsNear func(now time.Time, u graph.Unit) bool
+	}
+
 	// round is the state of one decision.
 	round struct {
+		*Policy
 		*View
 		now      time.Time
 		used     map[string]int64
@@ -91,29 +104,25 @@
 	// coresPerAccelerator weighs an accelerator against processor cores, as
 	// the users' price of lost work does.
 	coresPerAccelerator = 8
-	// farFactor is how many times as long a task takes away from its data;
-	// the users' pages give 3 on all sites.
-	farFactor = 3
-	// patience is the part of a unit's estimate for which it waits for room
-	// near its data before it starts elsewhere.
-	patience = 0.8
-	// reload is the time that a task needs to resume from a checkpoint; the
-	// users' pages give 0.1 and 0.6 s.
-	reload = 600 * time.Millisecond
-	// maxMoves is how often a unit is stopped for others before it is left
-	// alone.
-	maxMoves = 2
 )
 
 // Urgent reports whether the job may stop others.
 func Urgent(j *graph.Job) bool { return j.Priority == 0 }
 
+// Default returns the policy in use.
+func Default() *Policy {
+	return &Policy{Order: Order, Lost: Lost, WaitsNear: WaitsNear}
+}
+
+// Decide returns the starts and stops of one round under the default policy,
+// and reserves the room of the starts in the pool.
+func Decide(now time.Time, v *View) Decision { return Default().Decide(now, v) }
+
 // Decide returns the starts and stops of one round and reserves the room of
 // the starts in the pool.
-func Decide(now time.Time, v *View) Decision {
-	r := &round{View: v, now: now, used: v.urgentUse(), full: make(map[fullKey]bool), present: make(map[fullKey]map[pool.WorkerID]int)}
-	r.decision.Waits = make(map[string]int)
-	Order(now, v.Waiting)
+func (p *Policy) Decide(now time.Time, v *View) Decision {
+	r := newRound(p, now, v)
+	p.Order(now, v.Waiting)
 	for _, u := range v.Waiting {
 		key := keyOf(u)
 		if r.full[key] {
@@ -128,6 +137,13 @@
 	return r.decision
 }
 
+func newRound(p *Policy, now time.Time, v *View) *round {
+	return &round{
+		Policy: p, View: v, now: now, used: v.urgentUse(), full: make(map[fullKey]bool),
+		present: make(map[fullKey]map[pool.WorkerID]int), decision: Decision{Waits: make(map[string]int)},
+	}
+}
+
 // urgentUse returns the accelerators that urgent jobs hold, by workspace.
 func (v *View) urgentUse() map[string]int64 {
 	used := make(map[string]int64)
@@ -147,7 +163,7 @@
 // waits, or an empty string.
 func (r *round) place(u graph.Unit) string {
 	req := r.request(u)
-	req.NearOnly = r.waitsForData(u)
+	req.NearOnly = r.WaitsNear(r.now, u)
 	if chosen, near := r.Pool.Choose(req); chosen != nil {
 		r.start(u, chosen, near, "room")
 		return ""
@@ -182,21 +198,6 @@
 	return r.reclaim(u, req)
 }
 
-// waitsForData reports whether u is better off waiting for room near its data.
-// Urgent units make room instead.
-func (r *round) waitsForData(u graph.Unit) bool {
-	s := u.Spec()
-	if s.DataRack == "" && !s.SameRack {
-		return false
-	}
-	j := u.Progress.Job
-	if Urgent(j) {
-		return true
-	}
-	waited := r.now.Sub(j.Due(u.Occurrence))
-	return waited < time.Duration(patience*farFactor*float64(s.Estimate))
-}
-
 func (r *round) request(u graph.Unit) pool.Request {
 	s := u.Spec()
 	req := pool.Request{
--- a/internal/plan/reclaim.go
+++ b/internal/plan/reclaim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/pool"
@@ -11,6 +12,15 @@
 // This file answers urgent jobs that come to a full site: which placed units
 // make room for them.
 
+const (
+	// reload is the time that a task needs to resume from a checkpoint; the
+	// users' pages give 0.1 and 0.6 s.
+	reload = 600 * time.Millisecond
+	// maxMoves is how often a unit is stopped for others before it is left
+	// alone.
+	maxMoves = 2
+)
+
 type (
 	// victim is a placed unit as a search for victims sees it.
 	victim struct {
@@ -170,7 +180,7 @@
 	}
 	r.byWorker = make(map[*pool.Worker][]*victim, r.Pool.Len())
 	for i, p := range r.Placed {
-		v := &victim{Placed: p, number: i, lost: r.lost(p)}
+		v := &victim{Placed: p, number: i, lost: r.Lost(r.now, p)}
 		for _, w := range p.Workers {
 			r.byWorker[w] = append(r.byWorker[w], v)
 		}
@@ -233,14 +243,14 @@
 	return r.used[w]+accelerators(u) <= r.Guarantees[w]
 }
 
-// lost returns the work in core-seconds that a stop of p throws away. A stop
+// Lost returns the work in core-seconds that a stop of p throws away. A stop
 // saves the progress of tasks that make checkpoints, which then lose the time
 // of loading it.
-func (r *round) lost(p *Placed) float64 {
+func Lost(now time.Time, p *Placed) float64 {
 	if p.Since.IsZero() {
 		return 0
 	}
-	ran := r.now.Sub(p.Since)
+	ran := now.Sub(p.Since)
 	if p.Unit.Spec().Checkpoints {
 		ran = min(ran, reload)
 	}
--- a/internal/plan/reclaim_test.go
+++ b/internal/plan/reclaim_test.go
@@ -50,7 +50,7 @@
 		}
 		s := gang(rapid.IntRange(1, 4).Draw(t, "count"), gpus(rapid.Int64Range(1, 8).Draw(t, "need")))
 		u := unit("u", "a", 0, 0, s)
-		r := &round{View: v, now: noon, used: v.urgentUse()}
+		r := newRound(Default(), noon, v)
 		var all []*pool.Worker
 		v.Pool.Each(func(w *pool.Worker) { all = append(all, w) })
 		req := r.request(u)
@@ -58,7 +58,7 @@
 		sum := 0.0
 		for i, p := range set {
 			assert.Assert(t, r.mayStop(p, u), "%s may not be stopped", p.Unit.Progress.Job.ID)
-			sum += r.lost(p)
+			sum += r.Lost(noon, p)
 			rest := append(append([]*Placed(nil), set[:i]...), set[i+1:]...)
 			assert.Assert(t, holds(req, all, rest) < req.Count, "%s need not be stopped", p.Unit.Progress.Job.ID)
 		}
@@ -84,7 +84,7 @@
 	v := fullSite(44)
 	u := unit("u", "a", 0, 0, graph.Step{Count: 500, Demand: gpus(8), Gang: true, SameRack: true, Estimate: time.Second})
 	for b.Loop() {
-		r := &round{View: v, now: noon, used: v.urgentUse()}
+		r := newRound(Default(), noon, v)
 		r.cheapest(u, r.request(u))
 	}
 }
