Keep the leader's transactions within what the store takes

Cause: rows of workers that had gone were deleted in one transaction, however many they were. Change: deletes take the entries that are left, the rest waits for the next transaction; values are bounded to 600 KiB; an invalid call has an error of its own, which ends the term and is not tried again; the stand-in refuses more than 100 entries as well. Also: the take-over itself was needless. The store refused writes and served reads for 3 s, so the lease looked stale, and 40 candidates then stood against one leader. A candidate whose write failed waits for another staleness (TestWritesRefused). The log tells a failing way to the store once, not at each change of calls that are refused and answered.

--- a/internal/accept/desk.go
+++ b/internal/accept/desk.go
@@ -12,6 +12,7 @@
 	"github.com/baobabquay/baobabquay/internal/pipe"
 	"github.com/baobabquay/baobabquay/internal/queues"
 	"github.com/baobabquay/baobabquay/internal/shard"
+	"github.com/baobabquay/baobabquay/internal/store"
 	"github.com/pkg/errors"
 )
 
@@ -226,6 +227,10 @@
 
 func (k *Desk) record(ctx context.Context, s *submission) error {
 	outcome, err := k.Ledger.Accept(ctx, s.job)
+	if outcome == ledger.NotStored && errors.Is(err, store.ErrInvalid) {
+		s.answer = Answer{Outcome: Invalid, Reason: err.Error()}
+		return nil
+	}
 	switch outcome {
 	case ledger.Stored:
 		s.answer = Answer{Outcome: Accepted}
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -40,6 +40,10 @@
 		mu sync.Mutex
 		// failed is when the last direct call failed, zero if it was answered.
 		failed time.Time
+		// trouble is when a direct call last failed at all, and told reports
+		// whether the log has it.
+		trouble time.Time
+		told    bool
 		// out is when another instance was last refused too.
 		out time.Time
 		// usual follows the longest times of direct answers.
@@ -58,6 +62,9 @@
 	usualParts = 16
 	// failedFor is how long a failure makes the next calls take both ways at once.
 	failedFor = 3 * time.Second
+	// settled is the time without a failure after which the direct way counts as
+	// working again in the log.
+	settled = time.Second
 	// outFor is how long no other instance is asked after one was refused by the
 	// service as well.
 	outFor = 500 * time.Millisecond
@@ -125,7 +132,8 @@
 
 // answered reports whether err is nil or an answer of the service.
 func answered(err error) bool {
-	return err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrCompacted) || store.IsConflict(err)
+	return err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrCompacted) ||
+		errors.Is(err, store.ErrInvalid) || store.IsConflict(err)
 }
 
 // patience returns how long a direct call is waited for before another way is
@@ -143,15 +151,18 @@
 // it was to wait.
 func (d *Detour) note(ok bool, took time.Duration) {
 	d.mu.Lock()
-	was := !d.failed.IsZero()
+	now := time.Now()
 	if ok {
 		d.failed = time.Time{}
 		d.usual = max(took, d.usual-d.usual/usualParts)
 	} else {
-		d.failed = time.Now()
+		d.failed, d.trouble = now, now
 	}
+	// A store that refuses some calls and answers others is told once.
+	news := !ok && !d.told || ok && d.told && now.Sub(d.trouble) > settled
+	d.told = d.told != news
 	d.mu.Unlock()
-	if was == ok {
+	if news {
 		d.Log.Write(event.StoreWay, "direct", ok)
 	}
 }
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -242,6 +242,7 @@
 	}
 	if err != nil {
 		e.Log.Write(event.LeaseMissed, "reason", err.Error())
+		e.standBack()
 		return
 	}
 	e.Log.Write(event.TermBegun, "epoch", term.Epoch)
@@ -257,6 +258,17 @@
 	}
 }
 
+// standBack lets the lease count as fresh once more: a store that refuses writes
+// refuses those of the leader too, which must be able to renew before the others
+// try again.
+func (e *Elector) standBack() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.changed.IsZero() {
+		e.changed = time.Now()
+	}
+}
+
 func reason(err error) string {
 	if err == nil {
 		return "planned"
--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/fakes"
+	"github.com/baobabquay/baobabquay/internal/store"
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -56,3 +58,40 @@
 		golden.Assert(t, b.String(), "larger.golden")
 	})
 }
+
+// TestWritesRefused guards against a leader that is replaced without need: the
+// store refuses all writes for a while and serves reads, so that the lease looks
+// stale, and when it takes writes again many candidates stand against one leader.
+func TestWritesRefused(t *testing.T) {
+	const candidates = 20
+	synctest.Test(t, func(t *testing.T) {
+		table, led := fakes.NewTable(), make(chan string, 64)
+		var down atomic.Bool
+		commit := table.Store().Commit
+		refusing := table.Store()
+		refusing.Commit = func(ctx context.Context, txn store.Txn) (int64, error) {
+			if down.Load() {
+				return 0, store.ErrUnavailable
+			}
+			return commit(ctx, txn)
+		}
+		for i := range candidates {
+			name := fmt.Sprint("n", i)
+			go New(Deps{
+				Table: refusing, Feed: table.Feed(), Self: Self{Node: name, Name: name + "-1"}, Log: event.New(logr.Discard()),
+				Lead: func(ctx context.Context, term Term) error {
+					led <- fmt.Sprintf("%s epoch %d", name, term.Epoch)
+					<-ctx.Done()
+					return ctx.Err()
+				},
+			}).Run(t.Context())
+		}
+		next(t, led)
+		time.Sleep(5 * time.Second)
+		down.Store(true)
+		time.Sleep(4 * time.Second)
+		down.Store(false)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, len(led), 0, "the leader was replaced")
+	})
+}
--- a/internal/fakes/table.go
+++ b/internal/fakes/table.go
@@ -47,6 +47,10 @@
 	}
 )
 
+// mostEntries is the number of entries that a transaction may have, as the
+// users' platform sets it.
+const mostEntries = 100
+
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{rows: make(map[string]store.Row), changed: make(chan struct{})} }
 
@@ -106,6 +110,9 @@
 func (t *Table) commit(txn store.Txn, now time.Time) (int64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if n := len(txn.Checks) + len(txn.Puts) + len(txn.Deletes); n > mostEntries {
+		return 0, fmt.Errorf("%d entries: %w", n, store.ErrInvalid)
+	}
 	var conflict store.ConflictError
 	for _, c := range txn.Checks {
 		if t.rows[c.Key].Version != c.Version {
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -28,6 +28,8 @@
 		recorded []*worker
 		// removed lists workers whose rows can go.
 		removed []pool.WorkerID
+		// bytes is the size of the values in the batch.
+		bytes int
 	}
 
 	// ack is an acknowledgement that waits for a commit.
@@ -44,8 +46,13 @@
 	}
 )
 
-// rowsPerEnd is the number of entries that the end of a job takes.
-const rowsPerEnd = 3
+const (
+	// rowsPerEnd is the number of entries that the end of a job takes.
+	rowsPerEnd = 3
+	// batchBytes bounds the values of one transaction; the platform takes 1 MB
+	// with values in base 64, and a row of up to 64 KiB is added last.
+	batchBytes = 600 << 10
+)
 
 // storeTrouble is how long a transaction may take before the store counts as
 // away: it answers in 4 ms, and in a quarter of a second when it is slow.
@@ -99,36 +106,47 @@
 		if !j.dirty {
 			continue
 		}
-		if len(c.batch.Puts)+len(c.batch.Deletes)+rowsPerEnd > ledger.MaxBatch {
+		if c.room() < rowsPerEnd || c.bytes > batchBytes {
 			full = true
 			break
 		}
 		t.encode(&c, j, now)
 	}
 	for _, w := range t.workers {
-		if w.recorded || w.recording || full || len(c.batch.Puts)+1 > ledger.MaxBatch {
+		if w.recorded || w.recording || full {
 			continue
 		}
-		t.encodeWorker(&c, w)
+		if full = c.room() < 1; !full {
+			t.encodeWorker(&c, w)
+		}
+	}
+	if !full {
+		c.acks, t.pending.acks = t.pending.acks, nil
+		full = t.forget(&c)
 	}
 	if !full {
-		c.batch.Deletes = append(c.batch.Deletes, t.forgotten()...)
-		c.acks = t.pending.acks
-		t.pending = commit{}
 		t.since, t.urgent = time.Time{}, false
 	}
 	return c
 }
 
-// forgotten returns the rows of the workers that have gone and not come back.
-func (t *term) forgotten() []string {
-	var keys []string
-	for _, id := range t.pending.removed {
+// room returns the number of entries that the transaction can still take.
+func (c *commit) room() int { return ledger.MaxBatch - len(c.batch.Puts) - len(c.batch.Deletes) }
+
+// forget removes the rows of workers that have gone and not come back, and
+// reports whether some have to wait for the next transaction.
+func (t *term) forget(c *commit) bool {
+	for i, id := range t.pending.removed {
+		if c.room() < 1 {
+			t.pending.removed = t.pending.removed[i:]
+			return true
+		}
 		if t.workers[id] == nil {
-			keys = append(keys, ledger.WorkerKey(string(id)))
+			c.batch.Deletes = append(c.batch.Deletes, ledger.WorkerKey(string(id)))
 		}
 	}
-	return keys
+	t.pending.removed = nil
+	return false
 }
 
 func (t *term) encode(c *commit, j *job, now time.Time) {
@@ -148,6 +166,7 @@
 			return
 		}
 		c.batch.Puts = append(c.batch.Puts, store.Put{Key: ledger.ProgressKey(id), Value: value})
+		c.bytes += len(value)
 		return
 	}
 	value, err := ledger.Encode(ledger.Ended{Phase: p.Ended, Reason: p.Reason, Queue: p.Job.Queue, At: now})
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -50,7 +50,8 @@
 }
 
 // Commit applies b and returns when it is stored. It tries again until ctx
-// ends. The error wraps ErrDeposed if the term is over.
+// ends. The error wraps ErrDeposed if the term is over, and store.ErrInvalid if
+// the store will never take b.
 func (w *Writer) Commit(ctx context.Context, b Batch) error {
 	w.number++
 	value := SequenceValue(w.epoch, w.number)
@@ -65,7 +66,7 @@
 			w.version = version
 			return nil
 		}
-		if errors.Is(err, ErrDeposed) {
+		if errors.Is(err, ErrDeposed) || errors.Is(err, store.ErrInvalid) {
 			return fmt.Errorf("commit %d of term %d: %w", w.number, w.epoch, err)
 		}
 		if !sleep(ctx, retryPause) {
--- a/internal/node/rows.go
+++ b/internal/node/rows.go
@@ -50,6 +50,7 @@
 }{
 	{store.ErrNotFound, peerv1.RowsFailure_ROWS_FAILURE_NOT_FOUND},
 	{store.ErrCompacted, peerv1.RowsFailure_ROWS_FAILURE_COMPACTED},
+	{store.ErrInvalid, peerv1.RowsFailure_ROWS_FAILURE_INVALID},
 	{store.ErrUncertain, peerv1.RowsFailure_ROWS_FAILURE_UNCERTAIN},
 	{store.ErrUnavailable, peerv1.RowsFailure_ROWS_FAILURE_UNAVAILABLE},
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -69,6 +69,9 @@
 	// ErrUnavailable means that the service did not take the call: a write
 	// has had no effect and will have none.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrInvalid means that the service has not taken the call and never will,
+	// such as a transaction of too many entries.
+	ErrInvalid = errors.New("store refuses the call as invalid")
 	// ErrUncertain means that no answer arrived: a write may have taken effect.
 	ErrUncertain = errors.New("store answer lost")
 )
