Let calls that wait for changes go other ways as soon as the direct one fails

Cause: a leader cut off from the store learned of new jobs up to 1.75 s late, since its call for changes had its whole wait before another way was taken. Change: the first failure of the direct way wakes the calls that wait. The matrix plays each cell with and without ways through other instances; tests for instances cut off from the store (TestInstancesCutOff, TestAlarm) and for the count of waiting jobs (TestWaiting).

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -44,6 +44,9 @@
 		// whether the log has it.
 		trouble time.Time
 		told    bool
+		// alarm is closed and replaced when the direct way begins to fail, so that
+		// calls that wait for a change go other ways too.
+		alarm chan struct{}
 		// out is when another instance was last refused too.
 		out time.Time
 		// usual follows the longest times of direct answers.
@@ -77,7 +80,7 @@
 var ErrNotReached = errors.New("the other instance did not take the call")
 
 // New returns a detour whose direct way is taken to work.
-func New(d Deps) *Detour { return &Detour{Deps: d} }
+func New(d Deps) *Detour { return &Detour{Deps: d, alarm: make(chan struct{})} }
 
 // Table returns the calls on rows.
 func (d *Detour) Table() store.Table {
@@ -147,6 +150,13 @@
 	return min(max(usualFactor*d.usual, leastPatience), mostPatience)
 }
 
+// alarmed returns a channel that is closed when the direct way begins to fail.
+func (d *Detour) alarmed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.alarm
+}
+
 // note keeps the outcome of a direct call that took the given time beyond what
 // it was to wait.
 func (d *Detour) note(ok bool, took time.Duration) {
@@ -156,6 +166,10 @@
 		d.failed = time.Time{}
 		d.usual = max(took, d.usual-d.usual/usualParts)
 	} else {
+		if d.failed.IsZero() {
+			close(d.alarm)
+			d.alarm = make(chan struct{})
+		}
 		d.failed, d.trouble = now, now
 	}
 	// A store that refuses some calls and answers others is told once.
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -214,3 +214,24 @@
 		golden.Assert(t, b.String(), "book.golden")
 	})
 }
+
+// TestAlarm guards against a leader that learns of new jobs only when its call
+// for changes has waited for its whole time, although another call has shown that
+// the direct way is silent.
+func TestAlarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{table: fakes.NewTable(), direct: silent, via: map[netip.AddrPort]way{first: calm, second: calm}}
+		d := s.detour()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		begun := time.Now()
+		go func() {
+			_, err := d.Table().Commit(ctx, store.Txn{Puts: []store.Put{{Key: "a/1"}}})
+			assert.Check(t, err == nil, "%v", err)
+		}()
+		c, err := d.Feed().Wait(ctx, "a", 0, 2*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(c.Rows), 1)
+		assert.Assert(t, time.Since(begun) < 2*leastPatience, "told after %v", time.Since(begun))
+	})
+}
--- a/internal/detour/run.go
+++ b/internal/detour/run.go
@@ -64,6 +64,7 @@
 		value, err := w.directly(ctx)
 		a.results <- result[T]{value: value, err: err, took: time.Since(a.begun)}
 	}()
+	alarm := d.alarmed()
 	patience := d.patience()
 	if patience == 0 {
 		a.next()
@@ -80,6 +81,11 @@
 			}
 			a.next()
 			timer.Reset(w.waits + leastPatience)
+		case <-alarm:
+			alarm = nil
+			if w.waits > 0 && !a.asked {
+				a.next()
+			}
 		case r := <-a.results:
 			if a.take(r) {
 				return r.value, r.err
--- a/internal/trial/matrix_test.go
+++ b/internal/trial/matrix_test.go
@@ -20,6 +20,8 @@
 		step  step
 		fault string
 		mode  string
+		// detours reports whether instances reach the store through others.
+		detours bool
 	}
 
 	// trigger sets a fault at calls of a step.
@@ -153,7 +155,7 @@
 func play(t *testing.T, c cell) ([]string, bool) {
 	var breaches []string
 	g := &trigger{cell: c}
-	run(t, func(w *world) {
+	runWith(t, c.detours, func(w *world) {
 		g.w = w
 		time.Sleep(2 * time.Second)
 		w.mu.Lock()
@@ -196,7 +198,8 @@
 }
 
 // TestMatrix runs every step against every fault, once, twice, and with a kill
-// of the leader or the crash of a worker behind it. Without MATRIX it runs a
+// of the leader or the crash of a worker behind it, with and without ways to the
+// store through other instances. Without MATRIX it runs a
 // sample. It guards against each of the breaches that check and unfinished
 // name, at the moments that the users' days meet only by chance.
 func TestMatrix(t *testing.T) {
@@ -209,7 +212,7 @@
 	for _, s := range matrixSteps {
 		for _, f := range names {
 			for _, m := range matrixModes {
-				cells = append(cells, cell{s, f, m})
+				cells = append(cells, cell{s, f, m, false}, cell{s, f, m, true})
 			}
 		}
 	}
@@ -218,6 +221,9 @@
 	bad, unreached, played := 0, 0, 0
 	for i, c := range cells {
 		name := fmt.Sprintf("%s/%s/%s", c.step, c.fault, c.mode)
+		if c.detours {
+			name += "/detours"
+		}
 		if only != "" && only != name || only == "" && !whole && i%sampleEvery != 0 {
 			continue
 		}
--- a/internal/trial/path_test.go
+++ b/internal/trial/path_test.go
@@ -16,11 +16,16 @@
 	"gotest.tools/v3/golden"
 )
 
-// run runs f in a world of its own on a paused clock.
-func run(t *testing.T, f func(*world)) {
+// run runs f in a world of its own on a paused clock, in which each instance
+// has only its own way to the store.
+func run(t *testing.T, f func(*world)) { runWith(t, false, f) }
+
+// runWith runs f in a world in which instances, with detours, reach the store
+// through others too.
+func runWith(t *testing.T, detours bool, f func(*world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.WithValue(t.Context(), beginKey{}, time.Now()))
-		w := newWorld(ctx, t)
+		w := newWorld(ctx, t, detours)
 		f(w)
 		if os.Getenv("TRIAL_LOG") != "" {
 			w.mu.Lock()
@@ -268,3 +273,63 @@
 		assert.Equal(t, len(w.machines.Runs()), 1)
 	})
 }
+
+// TestInstancesCutOff guards against callers of an instance that the store does
+// not answer, who would wait for all of their time, and against a change of the
+// leader for a cut between it and the store alone.
+func TestInstancesCutOff(t *testing.T) {
+	runWith(t, true, func(w *world) {
+		time.Sleep(2 * time.Second)
+		leader := w.leader()
+		for i, n := range w.nodes {
+			if n != leader {
+				w.nodes[0], w.nodes[i] = w.nodes[i], w.nodes[0]
+				break
+			}
+		}
+		for _, n := range []*node{leader, w.nodes[0]} {
+			l := n.life().link
+			l.cut(&l.noStore, 6*time.Second)
+		}
+		for i, id := range []graph.ID{urgent, late} {
+			begun := time.Now()
+			w.submit(0, "urgent", "kn", id, graph.Step{Count: 2, Demand: gpu(4), Gang: true, Estimate: time.Second})
+			// The first call waits for an answer, the next ones take both ways.
+			assert.Assert(t, time.Since(begun) < time.Duration(2-i)*300*time.Millisecond, "stored after %v", time.Since(begun))
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.leader(), leader, "the leader was replaced")
+		for _, id := range []graph.ID{urgent, late} {
+			s, ok := leader.life().scheduler.Status(id)
+			assert.Assert(t, ok && s.Phase == graph.Completed, "%s is %s", id, s.Phase)
+		}
+		time.Sleep(8 * time.Second)
+		assert.DeepEqual(t, w.check(), []string(nil))
+	})
+}
+
+// TestWaiting guards against a count of waiting jobs that has those which have
+// begun or ended, or lacks those without room.
+func TestWaiting(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		// The first takes all room, and the next ones wait for it.
+		go w.submit(0, "normal", "ks", wide, graph.Step{Count: 4, Demand: gpu(8), Estimate: 2 * time.Second})
+		time.Sleep(500 * time.Millisecond)
+		for _, id := range []graph.ID{gang, dropt, late} {
+			go w.submit(0, "normal", "ks", id, graph.Step{Count: 4, Demand: gpu(8), Gang: true, Estimate: 2 * time.Second})
+		}
+		time.Sleep(500 * time.Millisecond)
+		count := func() int {
+			n, leads := w.leader().life().scheduler.Waiting("normal")
+			assert.Assert(t, leads)
+			return n
+		}
+		assert.Equal(t, count(), 3)
+		w.cancel(0, "normal", "ks", dropt)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, count(), 2)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, count(), 0)
+	})
+}
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/accept"
 	"github.com/baobabquay/baobabquay/internal/agent"
+	"github.com/baobabquay/baobabquay/internal/detour"
 	"github.com/baobabquay/baobabquay/internal/elect"
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/fakes"
@@ -36,6 +38,8 @@
 		machines *fakes.Machines
 		nodes    []*node
 		hook     func(*link, step) fault
+		// detours reports whether instances reach the store through others.
+		detours bool
 
 		mu       sync.Mutex
 		jobs     map[graph.ID]*graph.Job
@@ -57,7 +61,10 @@
 
 	// life is one life of an instance.
 	life struct {
-		link      *link
+		link *link
+		// table and feed are the direct way to the store.
+		table     store.Table
+		feed      store.Feed
 		end       context.CancelFunc
 		done      *sync.WaitGroup
 		elector   *elect.Elector
@@ -76,9 +83,9 @@
 var errSilence = errors.New("no answer")
 
 // newWorld starts three instances and four workers in two racks.
-func newWorld(ctx context.Context, t *testing.T) *world {
+func newWorld(ctx context.Context, t *testing.T, detours bool) *world {
 	w := &world{
-		t: t, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
+		t: t, detours: detours, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
 		answers: make(map[graph.ID]accept.Outcome), cancels: make(map[graph.ID]time.Time),
 	}
 	names := []pool.WorkerID{"w1", "w2", "w3", "w4"}
@@ -191,6 +198,11 @@
 	n.now.keeper = keeper
 	keeper.Install(config())
 	table, feed := n.now.link.table(w.table.Store()), n.now.link.feed(w.table.Feed())
+	n.now.table, n.now.feed = table, feed
+	if w.detours {
+		d := n.detour(table, feed, log)
+		table, feed = d.Table(), d.Feed()
+	}
 	n.now.scheduler = lead.New(lead.Deps{
 		Table: table, Feed: feed, Calls: n.now.link.calls(w.machines.Calls()), Queues: keeper,
 		Limits: agent.Limits{Lease: 5 * time.Second, Bound: 6 * time.Second}, WorkerList: listTable,
@@ -216,6 +228,42 @@
 	n.now.done.Go(func() { elector.Run(ctx) })
 }
 
+// detour returns the way to the store through the other instances. One that
+// has ended or stands still does not answer.
+func (n *node) detour(table store.Table, feed store.Feed, log event.Log) *detour.Detour {
+	w := n.world
+	other := func(a netip.AddrPort) life {
+		i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.peer() == a })
+		return w.nodes[i].life()
+	}
+	return detour.New(detour.Deps{
+		Table: table, Feed: feed, Failed: func(netip.AddrPort) {}, Log: log,
+		Others: func() []netip.AddrPort {
+			var list []netip.AddrPort
+			for _, o := range w.nodes {
+				if o != n {
+					list = append(list, o.peer())
+				}
+			}
+			return list
+		},
+		Via: detour.Calls{
+			Get: func(ctx context.Context, a netip.AddrPort, key string) (store.Row, error) {
+				return other(a).table.Get(ctx, key)
+			},
+			Commit: func(ctx context.Context, a netip.AddrPort, t store.Txn) (int64, error) {
+				return other(a).table.Commit(ctx, t)
+			},
+			Read: func(ctx context.Context, a netip.AddrPort, table string) (store.Changes, error) {
+				return other(a).feed.Read(ctx, table)
+			},
+			Wait: func(ctx context.Context, a netip.AddrPort, table string, after int64, most time.Duration) (store.Changes, error) {
+				return other(a).feed.Wait(ctx, table, after, most)
+			},
+		},
+	})
+}
+
 // kill ends the instance so that none of its calls gets an answer.
 func (n *node) kill() {
 	l := n.life()
