Let gangs that are wider than any rack start without waiting for one

Cause: a gang that wants one rack waits for it for up to 0.8 times what it would take elsewhere (20 s for the longest), also where no rack could hold it even if it were empty. Change: such a gang does not wait. Workers that take no tasks for the moment count as part of their rack, since after a take-over all of them are so.

--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -163,7 +163,7 @@
 // waits, or an empty string.
 func (r *round) place(u graph.Unit) string {
 	req := r.request(u)
-	req.NearOnly = r.WaitsNear(r.now, u)
+	req.NearOnly = r.WaitsNear(r.now, u) && r.everNear(req)
 	if chosen, near := r.Pool.Choose(req); chosen != nil {
 		r.start(u, chosen, near, "room")
 		return ""
--- a/internal/plan/decide_test.go
+++ b/internal/plan/decide_test.go
@@ -143,6 +143,9 @@
 			u := unit("apart", "a", 1, 0, s)
 			v.Waiting = append(v.Waiting, u.Progress.Ready()...)
 		}},
+		{"a gang wider than any rack does not wait for one", func(v *View) {
+			v.Waiting = append(v.Waiting, unit("wide", "a", 1, time.Second, gang(3, gpus(8))))
+		}},
 		{"waiting for room near the data", func(v *View) {
 			running(v, unit("there", "b", 1, 0, gang(2, gpus(8))), time.Second, "w10", "w11")
 			s := gang(2, gpus(4))
--- a/internal/plan/near.go
+++ b/internal/plan/near.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/pool"
 )
 
 // This file answers full racks: whether a unit waits for room near its data or
@@ -32,3 +33,29 @@
 	waited := now.Sub(j.Due(u.Occurrence))
 	return waited < time.Duration(patience*farFactor*float64(s.Estimate))
 }
+
+// everNear reports whether a rack near the data could hold the request if it
+// were empty. A gang may be wider than any rack, and would wait for nothing.
+// Workers that take no tasks for the moment count, since they may be back soon.
+func (r *round) everNear(req pool.Request) bool {
+	for _, name := range r.Pool.Racks() {
+		if req.DataRack != "" && name != req.DataRack {
+			continue
+		}
+		n := 0
+		for _, w := range r.Pool.Rack(name) {
+			if !w.Serves(&req) {
+				continue
+			}
+			h := pool.Holds(w.Capacity, req.Room)
+			if req.MaxPerWorker > 0 {
+				h = min(h, req.MaxPerWorker)
+			}
+			n += h
+		}
+		if n >= req.Count {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -127,10 +127,13 @@
 
 // Usable reports whether the worker may get tasks of the request at all.
 func (w *Worker) Usable(r *Request) bool {
-	if w.Closed || w.Service != r.Service || r.Now.Before(w.Barred) {
-		return false
-	}
-	return r.Label == "" || slices.Contains(w.Labels, r.Label)
+	return !w.Closed && !r.Now.Before(w.Barred) && w.Serves(r)
+}
+
+// Serves reports whether the worker is of the request's service and has its
+// label.
+func (w *Worker) Serves(r *Request) bool {
+	return w.Service == r.Service && (r.Label == "" || slices.Contains(w.Labels, r.Label))
 }
 
 // Holds returns how many tasks of the given room fit into free.
