Do not stop tasks of which only a few may be away

Cause: the limit on how many long-running tasks of a step may be away was not looked at when units were stopped for urgent ones. Change: such tasks are not stopped for others.

--- a/internal/plan/decide_test.go
+++ b/internal/plan/decide_test.go
@@ -143,6 +143,13 @@
 			u := unit("apart", "a", 1, 0, s)
 			v.Waiting = append(v.Waiting, u.Progress.Ready()...)
 		}},
+		{"tasks of which only a few may be away are not stopped", func(v *View) {
+			serving := gang(2, gpus(8))
+			serving.LongRunning, serving.MayMiss = true, 1
+			running(v, unit("serving", "b", 1, 0, serving), time.Second, "w00", "w01")
+			running(v, unit("batch", "b", 1, 0, gang(2, gpus(8))), 9*time.Second, "w10", "w11")
+			v.Waiting = append(v.Waiting, unit("urgent", "a", 0, 0, gang(2, gpus(8))))
+		}},
 		{"a gang wider than any rack does not wait for one", func(v *View) {
 			v.Waiting = append(v.Waiting, unit("wide", "a", 1, time.Second, gang(3, gpus(8))))
 		}},
--- a/internal/plan/reclaim.go
+++ b/internal/plan/reclaim.go
@@ -227,9 +227,13 @@
 	p.holds = n
 }
 
-// mayStop reports whether p may be stopped for u.
+// mayStop reports whether p may be stopped for u. Tasks that serve their own
+// users, of which only a few may be away, are not stopped for others.
 func (r *round) mayStop(p *Placed, u graph.Unit) bool {
 	victim := p.Unit.Progress.Job
+	if s := p.Unit.Spec(); s.LongRunning && s.MayMiss > 0 {
+		return false
+	}
 	if !Urgent(victim) {
 		return p.Moves <= maxMoves || r.within(u)
 	}
