Keep the harness of the fault matrix in test files

Cause: package matrix has only code for tests and was built as product code; its sleeps and its size counted there. Change: its files are test files; the example is in the package itself.

--- a/internal/matrix/example_test.go
+++ b/internal/matrix/example_test.go
@@ -1,24 +1,23 @@
-package matrix_test
+package matrix
 
 import (
 	"fmt"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/fakes"
-	"github.com/baobabquay/baobabquay/internal/matrix"
 )
 
 func ExampleCheck() {
 	at := time.Date(2026, 4, 12, 8, 0, 0, 0, time.UTC)
-	logs := matrix.Logs{
+	logs := Logs{
 		Begin: at, End: at.Add(time.Minute),
-		Answers: []matrix.Answer{{Request: "licence-7", NonIdempotent: true, Outcome: "unknown"}},
+		Answers: []Answer{{Request: "licence-7", NonIdempotent: true, Outcome: "unknown"}},
 		Endpoints: []fakes.Execution{
 			{At: at.Add(time.Second), Endpoint: "e1", Request: "licence-7", Event: fakes.ExecutionStarted},
 			{At: at.Add(2 * time.Second), Endpoint: "e2", Request: "licence-7", Event: fakes.ExecutionStarted},
 		},
 	}
-	for _, b := range matrix.Check(logs) {
+	for _, b := range Check(logs) {
 		fmt.Println(b.Promise, b.Detail)
 	}
 	// Output: P6 licence-7 ran 2 times
