--- a/internal/node/rows_test.go
+++ b/internal/node/rows_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/baobabquay/baobabquay/internal/detour"
 	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
@@ -80,6 +81,10 @@
 	commit("commit while the store refuses", via)
 	table.Faults.Clear()
 	commit("commit through nobody", address(nobody))
+	odd := newRows(store.Table{Commit: func(context.Context, store.Txn) (int64, error) { return 0, errors.New("odd") }}, store.Feed{})
+	res, err := odd.Commit(ctx, connect.NewRequest(&peerv1.RowsCommitRequest{}))
+	assert.NilError(t, err)
+	fmt.Fprintf(&b, "commit with an error of another kind: %v\n", res.Msg.GetFailure())
 	for range mostRows {
 		_, err := served.take()
 		assert.NilError(t, err)
