Do not wait for another instance that is cut off from the store as well

An instance asked for a call may be cut off itself; it was waited for for 250 ms after the 250 ms of the direct way, which is all of the 500 ms of a renewal, and since the call's time was over, it was asked first again each time. Ruled out: the candidates; the log has no failed write of theirs. Also: the test exchanged entries of a list that other goroutines read (found by the race detector in 60 runs). Change: the next instance is asked after 120 ms, and one that has not answered by then comes last for 5 s.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -61,6 +61,10 @@
 	usualFactor   = 3
 	leastPatience = 250 * time.Millisecond
 	mostPatience  = 800 * time.Millisecond
+	// viaPatience is how long another instance is waited for before the next one:
+	// two round trips between regions. With leastPatience it leaves time for an
+	// answer within the 500 ms of a renewal of the lease.
+	viaPatience = 120 * time.Millisecond
 	// usualParts is the part by which the usual time falls with each answer.
 	usualParts = 16
 	// failedFor is how long a failure makes the next calls take both ways at once.
--- a/internal/detour/run.go
+++ b/internal/detour/run.go
@@ -42,6 +42,8 @@
 		// the direct one is among them.
 		pending int
 		direct  bool
+		// current is the instance asked last, invalid once it has answered.
+		current netip.AddrPort
 		// evident reports whether the direct way had a start of patience, so that
 		// a quicker answer of another way tells against it.
 		evident bool
@@ -66,12 +68,14 @@
 	}()
 	alarm := d.alarmed()
 	patience := d.patience()
+	first := w.waits + patience
 	if patience == 0 {
 		a.next()
+		first = a.viaPatience()
 	} else {
 		a.evident = true
 	}
-	timer := time.NewTimer(w.waits + max(patience, leastPatience))
+	timer := time.NewTimer(first)
 	defer timer.Stop()
 	for a.pending > 0 {
 		select {
@@ -79,8 +83,9 @@
 			if a.conflict != nil {
 				return a.conflict.value, a.conflict.err
 			}
+			a.giveUp()
 			a.next()
-			timer.Reset(w.waits + leastPatience)
+			timer.Reset(a.viaPatience())
 		case <-alarm:
 			alarm = nil
 			if w.waits > 0 && !a.asked {
@@ -117,6 +122,9 @@
 		// Another instance was quicker although it was asked later.
 		a.note(false, 0)
 	}
+	if r.via == a.current {
+		a.current = netip.AddrPort{}
+	}
 	switch {
 	case store.IsConflict(r.err) && a.pending > 0:
 		a.conflict = &r
@@ -149,6 +157,24 @@
 	}
 }
 
+// viaPatience returns how long another instance is waited for before the next
+// one is asked as well.
+func (a *attempt[T]) viaPatience() time.Duration {
+	if a.waits > 0 {
+		return a.waits + leastPatience
+	}
+	return viaPatience
+}
+
+// giveUp puts an instance that has not answered in time behind the others, so
+// that the next call does not wait for it too: it may be cut off as well.
+func (a *attempt[T]) giveUp() {
+	if a.current.IsValid() {
+		a.Failed(a.current)
+		a.current = netip.AddrPort{}
+	}
+}
+
 // next makes the call through the next instance, if there is one.
 func (a *attempt[T]) next() {
 	if !a.asked {
@@ -158,7 +184,7 @@
 		return
 	}
 	via := a.rest[0]
-	a.rest = a.rest[1:]
+	a.rest, a.current = a.rest[1:], via
 	a.pending++
 	late := a.waits > 0 && time.Since(a.begun) >= a.waits
 	go func() {
--- a/internal/trial/path_test.go
+++ b/internal/trial/path_test.go
@@ -281,20 +281,16 @@
 	runWith(t, true, func(w *world) {
 		time.Sleep(2 * time.Second)
 		leader := w.leader()
-		for i, n := range w.nodes {
-			if n != leader {
-				w.nodes[0], w.nodes[i] = w.nodes[i], w.nodes[0]
-				break
-			}
-		}
-		for _, n := range []*node{leader, w.nodes[0]} {
+		asked := slices.IndexFunc(w.nodes, func(n *node) bool { return n != leader })
+		for _, n := range []*node{leader, w.nodes[asked]} {
 			l := n.life().link
 			l.cut(&l.noStore, 6*time.Second)
 		}
 		for i, id := range []graph.ID{urgent, late} {
 			begun := time.Now()
-			w.submit(0, "urgent", "kn", id, graph.Step{Count: 2, Demand: gpu(4), Gang: true, Estimate: time.Second})
-			// The first call waits for an answer, the next ones take both ways.
+			w.submit(asked, "urgent", "kn", id, graph.Step{Count: 2, Demand: gpu(4), Gang: true, Estimate: time.Second})
+			// The first call waits for an answer, the next ones take both ways. One
+			// of the two other instances is cut off too.
 			assert.Assert(t, time.Since(begun) < time.Duration(2-i)*300*time.Millisecond, "stored after %v", time.Since(begun))
 		}
 		time.Sleep(3 * time.Second)
