Limit a statement about transactions to those that go through a detour

Cause: the page of package detour said that all transactions have checks; the row that each instance keeps of itself has none and is written directly. Change: a comment only.

--- a/internal/detour/doc.go
+++ b/internal/detour/doc.go
@@ -7,8 +7,8 @@
 // well if no answer has come after a multiple of the usual time, or if the last
 // direct calls failed. The first answer of the service counts.
 //
-// Two copies of a transaction may reach the service. All transactions of this
-// project have checks that only one of them can pass, and their callers take a
+// Two copies of a transaction may reach the service. All transactions that go
+// this way have checks that only one of them can pass, and their callers take a
 // conflict as a possible effect of an earlier copy. After a conflict the other
 // copy is still waited for, since it may have been the one that passed.
 //
