--- a/internal/queues/config.go
+++ b/internal/queues/config.go
@@ -60,6 +60,10 @@
 		Workspaces []Workspace
 		// MaxBody is the maximum size of a job's body in bytes.
 		MaxBody int64
+		// EncodedSize is the size in bytes of the operators' row, and DecodeTime
+		// how long it took to decode.
+		EncodedSize int
+		DecodeTime  time.Duration
 
 		byKey map[string]string // workspace name by key
 	}
@@ -135,10 +139,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.current != nil && c.Version <= a.current.Version {
+		if c.Version < a.current.Version {
+			a.log.Write(event.ConfigRefused, "version", c.Version, "reason", "older than the version in force", "inForce", a.current.Version)
+		}
 		return false
 	}
 	a.current = c
-	a.log.Write(event.ConfigInForce, "version", c.Version, "queues", len(c.Queues), "workspaces", len(c.Workspaces))
+	a.log.Write(event.ConfigInForce, "version", c.Version, "queues", len(c.Queues), "workspaces", len(c.Workspaces),
+		"bytes", c.EncodedSize, "decode", c.DecodeTime.String())
 	return true
 }
 
