--- a/internal/fakes/table.go
+++ b/internal/fakes/table.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -19,6 +20,9 @@
 		// PartOf returns the part of the store that holds a table. Each part
 		// queues its transactions. By default there is one part.
 		PartOf func(table string) string
+		// MaxValue replaces maxValueBytes unless it is 0. The rows of operators may be
+		// larger than those of instances.
+		MaxValue int
 
 		mu      sync.Mutex
 		version int64
@@ -228,7 +232,7 @@
 		return 0, fmt.Errorf("%d entries: %w", n, store.ErrInvalid)
 	}
 	for _, p := range txn.Puts {
-		if n := len(p.Value); n > maxValueBytes {
+		if n := len(p.Value); n > cmp.Or(t.MaxValue, maxValueBytes) {
 			return 0, fmt.Errorf("row %s of %d bytes: %w", p.Key, n, store.ErrInvalid)
 		}
 	}
