--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -70,6 +70,9 @@
 	// peer: two round trips between regions. With minHedgeDelay it leaves time for
 	// an answer within the 500 ms of a renewal of the lease.
 	peerHedgeDelay = 120 * time.Millisecond
+	// arrivalStall is the time after which an answer of which no further part arrives
+	// counts as late.
+	arrivalStall = 500 * time.Millisecond
 	// latencyDecay is the divisor of the decay: each answer lowers the usual
 	// latency by 1/latencyDecay of it, but not below the latency of the answer.
 	latencyDecay = 16
--- a/internal/detour/run.go
+++ b/internal/detour/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/store"
@@ -24,7 +25,7 @@
 	}
 
 	// result is the outcome of one copy of a call. peer is invalid for the direct
-	// copy, and elapsed is set only for it.
+	// copy, and elapsed, the time until its answer began, is set only for it.
 	result[T any] struct {
 		value   T
 		err     error
@@ -54,6 +55,11 @@
 		// that an earlier answer through a peer is evidence that the direct path
 		// fails.
 		headStart bool
+		// firstPart and latestPart are the times from started until the first part
+		// of the direct answer and the latest part of any answer have arrived, 0 if
+		// none has.
+		firstPart  atomic.Int64
+		latestPart atomic.Int64
 		// conflict is a conflict that arrived while another copy was pending, and
 		// failure is the error to return if no copy is answered.
 		conflict *result[T]
@@ -67,11 +73,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := &attempt[T]{
-		Detour: d, tableCall: c, ctx: ctx, started: time.Now(), results: make(chan result[T], 1+maxPeers), directPending: true, pending: 1,
+		Detour: d, tableCall: c, started: time.Now(), results: make(chan result[T], 1+maxPeers), directPending: true, pending: 1,
 	}
+	a.ctx = store.WithProgress(ctx, func() { a.latestPart.Store(int64(time.Since(a.started))) })
 	go func() {
-		value, err := c.direct(ctx)
-		a.results <- result[T]{value: value, err: err, elapsed: time.Since(a.started)}
+		value, err := c.direct(store.WithProgress(a.ctx, func() { a.firstPart.CompareAndSwap(0, int64(time.Since(a.started))) }))
+		elapsed := time.Since(a.started)
+		if first := time.Duration(a.firstPart.Load()); first > 0 {
+			// The size of an answer says nothing about the path.
+			elapsed = first
+		}
+		a.results <- result[T]{value: value, err: err, elapsed: elapsed}
 	}()
 	failing := d.failureSignal()
 	hedgeDelay := d.hedgeDelay()
@@ -90,12 +102,16 @@
 			if a.conflict != nil {
 				return a.conflict.value, a.conflict.err
 			}
+			if remaining := a.arrivalTimeout(); remaining > 0 {
+				timer.Reset(remaining)
+				continue
+			}
 			a.abandonPeer()
 			a.callNextPeer()
 			timer.Reset(a.nextPeerDelay())
 		case <-failing:
 			failing = nil
-			if c.maxWait > 0 && !a.peersLoaded {
+			if c.maxWait > 0 && !a.peersLoaded && a.arrivalTimeout() <= 0 {
 				a.callNextPeer()
 			}
 		case r := <-a.results:
@@ -175,6 +191,17 @@
 	return peerHedgeDelay
 }
 
+// arrivalTimeout returns how much longer to wait for the next part of an answer that has
+// begun to arrive. It is not positive if none has, or if no part has arrived for
+// arrivalStall. A copy of the call would delay an answer that is arriving.
+func (a *attempt[T]) arrivalTimeout() time.Duration {
+	latestPart := time.Duration(a.latestPart.Load())
+	if latestPart == 0 {
+		return 0
+	}
+	return latestPart + arrivalStall - time.Since(a.started)
+}
+
 // abandonPeer reports the latest peer as failed if it has not answered, so that
 // later calls prefer other peers: it may be cut off from the service as well.
 func (a *attempt[T]) abandonPeer() {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -55,9 +55,9 @@
 // newPeerHTTP returns the client for calls to other instances.
 func newPeerHTTP() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: progressTransport{&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns,
-	}}
+	}}}
 }
 
 func (l *leaderService) client(to netip.AddrPort) peerv1.LeadClient {
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -76,11 +76,13 @@
 )
 
 const (
-	// readTimeout bounds a read of a whole table, in pages of 500 rows.
+	// readTimeout bounds the time until the answer to a read of a whole table begins.
 	readTimeout = 3 * time.Second
-	// answerMargin is added to the wait for a change in the timeout of a call. It
-	// allows for a round trip between regions and a slow store.
+	// answerMargin is added to the wait for a change in the time until the answer
+	// begins. It allows for a round trip between regions and a slow store.
 	answerMargin = 700 * time.Millisecond
+	// answerStall bounds the time between two parts of an answer.
+	answerStall = 700 * time.Millisecond
 	// feedRetryDelay is the pause after a failed call. It is short because a follower
 	// must see a new configuration within 2.5 s of the store's recovery.
 	feedRetryDelay = 150 * time.Millisecond
@@ -198,7 +200,7 @@
 
 // read returns a snapshot of the table at minVersion or a later version.
 func (f *Follower) read(ctx context.Context, minVersion int64) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := WithAnswerTimeout(ctx, readTimeout, answerStall)
 	defer cancel()
 	start := time.Now()
 	c, err := f.Feed.Read(ctx, f.Table)
@@ -214,7 +216,7 @@
 // wait waits up to maxWait for changes after a version. If none ended the wait,
 // it reports the latency of the store to f.ObserveLatency.
 func (f *Follower) wait(ctx context.Context, after int64, maxWait time.Duration) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxWait+answerMargin)
+	ctx, cancel := WithAnswerTimeout(ctx, maxWait+answerMargin, answerStall)
 	defer cancel()
 	start := time.Now()
 	c, err := f.Feed.Wait(ctx, f.Table, after, maxWait)
