--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -237,3 +237,47 @@
 		assert.Assert(t, time.Since(started) < 2*minHedgeDelay, "answered after %v", time.Since(started))
 	})
 }
+
+// TestParentOrder guards against a cycle in the tree of a region, against a parent in
+// another region or of an earlier version, and against small instances with children
+// where there are larger ones.
+func TestParentOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b strings.Builder
+		table := fakes.NewTable()
+		var all []*Directory
+		for i := range 14 {
+			d := NewDirectory(DirectoryDeps{
+				Table: table.Store(), Feed: table.Feed(), Name: fmt.Sprintf("n%02d", i), Log: event.New(logr.Discard()),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), Region: "west", Cores: 0.2,
+				Leader: func() netip.AddrPort { return netip.AddrPort{} },
+			})
+			switch {
+			case i%4 == 0:
+				d.Cores = 0.8
+			case i == 5:
+				d.Region = "east"
+			case i == 6:
+				d.Region, d.Cores = "", 0
+			}
+			all = append(all, d)
+			go d.Run(t.Context())
+		}
+		time.Sleep(10 * time.Second)
+		for i, d := range all {
+			fmt.Fprintf(&b, "%s of %q with %v cores: %v\n", d.Name, d.Region, d.Cores, d.Parent())
+			if parent := d.Parent(); parent.IsValid() && i%3 == 0 {
+				d.Avoid(parent)
+				fmt.Fprintf(&b, "  after a failure: %v\n", d.Parent())
+			}
+		}
+		for _, d := range all {
+			steps := 0
+			for at := d; at.Parent().IsValid(); steps++ {
+				assert.Assert(t, steps < len(all), "cycle above %s", d.Name)
+				at = all[at.Parent().Addr().As4()[3]]
+			}
+		}
+		golden.Assert(t, b.String(), "parent.golden")
+	})
+}
--- a/internal/detour/directory.go
+++ b/internal/detour/directory.go
@@ -1,16 +1,19 @@
 package detour
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/ledger"
 	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -23,6 +26,9 @@
 		// which its peers reach it.
 		Name    string
 		Address netip.AddrPort
+		// Region is the region of this instance, and Cores its processor limit.
+		Region string
+		Cores  float64
 		// Leader returns the address of the leader, invalid if there is none.
 		Leader func() netip.AddrPort
 		Log    event.Log
@@ -44,6 +50,9 @@
 		Address netip.AddrPort `json:"peer"`
 		// WrittenAt is when the instance wrote the row.
 		WrittenAt time.Time `json:"at"`
+		// Region and Cores are absent in rows of earlier versions of the program.
+		Region string  `json:"region,omitempty"`
+		Cores  float64 `json:"cores,omitempty"`
 	}
 )
 
@@ -65,6 +74,9 @@
 	callTimeout = 900 * time.Millisecond
 	// avoidDuration is how long a peer that has not answered is listed last.
 	avoidDuration = 5 * time.Second
+	// fanOut is the number of children of an instance in the tree of its region. The
+	// 74 instances of the largest region today are at most 4 levels below the root.
+	fanOut = 4
 	// maxRemovedRows bounds the expired rows that one transaction removes.
 	maxRemovedRows = 50
 )
@@ -140,18 +152,27 @@
 }
 
 // rowIsCurrent reports whether the stored row of this instance is present, has
-// its address and is younger than rowRefreshAge.
+// the present values and is younger than rowRefreshAge.
 func (d *Directory) rowIsCurrent() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	row, ok := d.rows[d.Name]
-	return ok && row.Address == d.Address && time.Since(row.WrittenAt).Abs() < rowRefreshAge
+	age := time.Since(row.WrittenAt).Abs()
+	row.WrittenAt = time.Time{}
+	return ok && row == d.ownRow() && age < rowRefreshAge
+}
+
+// ownRow returns the row of this instance without the time.
+func (d *Directory) ownRow() instanceRow {
+	return instanceRow{Address: d.Address, Region: d.Region, Cores: d.Cores}
 }
 
 func (d *Directory) writeRow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := ledger.Encode(instanceRow{Address: d.Address, WrittenAt: time.Now()})
+	row := d.ownRow()
+	row.WrittenAt = time.Now()
+	value, err := ledger.Encode(row)
 	if err != nil {
 		return fmt.Errorf("write own row: %w", err)
 	}
@@ -218,3 +239,40 @@
 	}
 	return append(preferred, avoided...)
 }
+
+// Parent returns the address of the parent of this instance in the tree of its region,
+// invalid for the root: the instances of the region, without those that have recently
+// failed to answer, are ordered by decreasing processor limit and then by the hash of
+// their names, and each has the next fanOut of them as children. So the instances with
+// children are those that serve them fastest, and neighbours by name, which often stop
+// one after the other, are not parent and child.
+func (d *Directory) Parent() netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own, ok := d.rows[d.Name]
+	if !ok || own.Region == "" {
+		return netip.AddrPort{}
+	}
+	preceding := make([]string, 0, len(d.rows))
+	for name, row := range d.rows {
+		failedAt, failed := d.avoid[row.Address]
+		usable := row.Region == own.Region && (!failed || time.Since(failedAt) >= avoidDuration)
+		if usable && d.compare(name, d.Name) < 0 {
+			preceding = append(preceding, name)
+		}
+	}
+	if len(preceding) == 0 {
+		return netip.AddrPort{}
+	}
+	slices.SortFunc(preceding, d.compare)
+	return d.rows[preceding[(len(preceding)-1)/fanOut]].Address
+}
+
+// compare orders two instances of a region as Parent states. The caller must hold mu.
+func (d *Directory) compare(a, b string) int {
+	return cmp.Or(
+		cmp.Compare(d.rows[b].Cores, d.rows[a].Cores),
+		cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)),
+		strings.Compare(a, b),
+	)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,7 @@
 	StoreWay       ID = 3032
 	BookFailed     ID = 3033
 	StoreBehind    ID = 3034
+	TableSource    ID = 3035
 	TermBegun      ID = 3040
 	TermEnded      ID = 3041
 	LeaderSeen     ID = 3042
@@ -139,6 +140,7 @@
 	{StoreWay, "storeWay", "Direct calls of the table service have begun to fail or are answered again; in between they are also made through other instances."},
 	{BookFailed, "bookFailed", "The rows with the addresses of the instances cannot be read or written; the addresses known so far stay in use."},
 	{StoreBehind, "storeBehind", "Reads of the table service return an older state than is already known; the known rows stay in use."},
+	{TableSource, "tableSource", "The operators' rows come from another source from now on: the instance at the address, or the store if the address is invalid."},
 	{TermBegun, "termBegun", "This instance became the leader, which gives orders to the workers."},
 	{TermEnded, "termEnded", "This instance no longer leads; reason says why."},
 	{LeaderSeen, "leaderSeen", "The lease names another leader or epoch."},
--- a/internal/node/app.go
+++ b/internal/node/app.go
@@ -22,6 +22,7 @@
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/queues"
 	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/internal/tree"
 	"github.com/baobabquay/baobabquay/platform"
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -45,11 +46,16 @@
 		directory *detour.Directory
 		// table and feed call the store directly, or through another instance
 		// if the direct call fails or is slow.
-		table       store.Table
-		feed        store.Feed
-		leader      *leaderService
-		storeHealth storeHealth
-		stopping    atomic.Bool
+		table store.Table
+		feed  store.Feed
+		// operatorFeed follows the operators' table at another instance of the
+		// region or at the store, and operatorRows is the copy of that table for
+		// other instances.
+		operatorFeed *tree.Feed
+		operatorRows *tree.Copy
+		leader       *leaderService
+		storeHealth  storeHealth
+		stopping     atomic.Bool
 
 		// cancel ends the background loops.
 		cancel context.CancelFunc
@@ -148,7 +154,8 @@
 func (in *instance) connectStore() {
 	in.http = newPeerHTTP()
 	in.directory = detour.NewDirectory(detour.DirectoryDeps{
-		Table: in.client.Table(), Feed: in.client.Feed(), Name: in.self.Instance, Address: in.self.Peer, Log: in.log,
+		Table: in.client.Table(), Feed: in.client.Feed(), Name: in.self.Instance, Address: in.self.Peer,
+		Region: in.settings.Region, Cores: in.settings.Cores, Log: in.log,
 		Leader: func() netip.AddrPort { return in.elector.Leader().Peer },
 	})
 	d := detour.New(detour.Deps{
@@ -156,6 +163,11 @@
 		Peers: in.directory.Peers, PeerFailed: in.directory.Avoid, Log: in.log,
 	})
 	in.table, in.feed = d.Table(), d.Feed()
+	in.operatorRows = tree.NewCopy()
+	in.operatorFeed = tree.New(tree.Deps{
+		Direct: in.feed, WaitCopy: newCopyClient(in.http).waitCopy, Parent: in.directory.Parent,
+		ParentFailed: in.directory.Avoid, Log: in.log,
+	})
 }
 
 func (in *instance) start(context.Context) error {
@@ -166,8 +178,9 @@
 	electionCtx, leaveElection := context.WithCancel(ctx)
 	in.cancel, in.leaveElection = cancel, leaveElection
 	operatorRows := store.Follower{
-		Feed: in.feed, Table: platform.OperatorTable, MaxWait: configPollTimeout,
+		Feed: in.operatorFeed.Feed(), Table: platform.OperatorTable, MaxWait: configPollTimeout,
 		Apply: in.applyOperatorRows, OnResult: in.recordStoreCall, KnownVersion: in.elector.LeaseVersion,
+		OnVersion: func(version int64) { in.operatorRows.Advance(version, in.operatorFeed.ConfirmedAt()) },
 	}
 	in.loops.Go(func() { operatorRows.Run(ctx) })
 	in.loops.Go(func() { in.elector.Run(electionCtx) })
@@ -180,7 +193,9 @@
 func (in *instance) listen() error {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peerv1.NewLeadHandler(in.leader))
-	peerMux.Handle(peerv1.NewRowsHandler(newRowsHandler(in.client.Table(), in.client.Feed())))
+	peerMux.Handle(peerv1.NewRowsHandler(newRowsHandler(
+		in.client.Table(), in.client.Feed(), map[string]*tree.Copy{platform.OperatorTable: in.operatorRows},
+	)))
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /events", serveEvents(in.recent))
 	metricsMux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
@@ -229,6 +244,7 @@
 // failure domains out of service. With snapshot, c holds all rows of the table,
 // and domains without a row are in service again.
 func (in *instance) applyOperatorRows(c store.Changes, snapshot bool) {
+	in.operatorRows.Apply(c, snapshot)
 	outOfService := make(map[string]bool)
 	for _, ch := range c.Rows {
 		if domain, ok := platform.OutOfService(ch.Row); ok {
@@ -258,6 +274,7 @@
 // recordStoreCall records the outcome of a call to the store and logs when the
 // store stops or resumes answering.
 func (in *instance) recordStoreCall(err error) {
+	in.operatorRows.RecordResult(err)
 	if store.IsLagging(err) {
 		// The store answers but cannot return the current rows yet; the rows
 		// applied so far stay in force.
--- a/internal/node/rows_test.go
+++ b/internal/node/rows_test.go
@@ -46,7 +46,7 @@
 // but is reported as refused.
 func TestRows(t *testing.T) {
 	table := fakes.NewTable()
-	handler := newRowsHandler(table.Store(), table.Feed())
+	handler := newRowsHandler(table.Store(), table.Feed(), nil)
 	mux := http.NewServeMux()
 	mux.Handle(peerv1.NewRowsHandler(handler))
 	server := httptest.NewServer(mux)
@@ -83,7 +83,7 @@
 	commit("commit while the store refuses", peer)
 	table.Faults.Clear()
 	commit("commit through an unreachable instance", address(unreachable))
-	failing := newRowsHandler(store.Table{Commit: func(context.Context, store.Txn) (int64, error) { return 0, errors.New("odd") }}, store.Feed{})
+	failing := newRowsHandler(store.Table{Commit: func(context.Context, store.Txn) (int64, error) { return 0, errors.New("odd") }}, store.Feed{}, nil)
 	res, err := failing.Commit(ctx, connect.NewRequest(&peerv1.RowsCommitRequest{}))
 	assert.NilError(t, err)
 	fmt.Fprintf(&b, "commit with an error of another kind: %v\n", res.Msg.GetFailure())
--- a/internal/node/rowsclient.go
+++ b/internal/node/rowsclient.go
@@ -12,6 +12,7 @@
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/shard"
 	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/internal/tree"
 	"github.com/pkg/errors"
 )
 
@@ -19,11 +20,12 @@
 // forward them.
 type rowsClient struct {
 	http    connect.HTTPClient
+	options []connect.ClientOption
 	clients *shard.Map[addressKey, peerv1.RowsClient]
 }
 
-func newRowsClient(h connect.HTTPClient) *rowsClient {
-	return &rowsClient{http: h, clients: shard.New[addressKey, peerv1.RowsClient](clientShards)}
+func newRowsClient(h connect.HTTPClient, options ...connect.ClientOption) *rowsClient {
+	return &rowsClient{http: h, options: options, clients: shard.New[addressKey, peerv1.RowsClient](clientShards)}
 }
 
 // calls returns the methods of the client.
@@ -33,7 +35,7 @@
 
 func (c *rowsClient) client(to netip.AddrPort) peerv1.RowsClient {
 	client, _ := c.clients.LoadOrStore(addressKey(to.String()), func() peerv1.RowsClient {
-		return peerv1.NewRowsClient(c.http, "http://"+to.String())
+		return peerv1.NewRowsClient(c.http, "http://"+to.String(), c.options...)
 	})
 	return client
 }
@@ -118,6 +120,34 @@
 	return changesFromProto(res.Msg)
 }
 
+// newCopyClient returns a client for waitCopy. It does not accept compressed responses,
+// since their large rows are packed already.
+func newCopyClient(h connect.HTTPClient) *rowsClient {
+	return newRowsClient(h, connect.WithAcceptCompression("gzip", nil, nil))
+}
+
+// waitCopy waits for changes of the copy of a table that another instance keeps. It also
+// returns how long ago the store has confirmed them.
+func (c *rowsClient) waitCopy(
+	ctx context.Context, peer netip.AddrPort, table string, after int64, maxWait time.Duration,
+) (store.Changes, time.Duration, error) {
+	req := &peerv1.RowsWaitRequest{Table: table, After: after, MostMillis: maxWait.Milliseconds(), FromCopy: true}
+	res, err := c.client(peer).Wait(ctx, connect.NewRequest(req))
+	if err != nil {
+		return store.Changes{}, 0, callError(err)
+	}
+	for _, row := range res.Msg.GetRows() {
+		if !row.GetPacked() {
+			continue
+		}
+		if row.Value, err = tree.Unpack(row.GetValue()); err != nil {
+			return store.Changes{}, 0, fmt.Errorf("row %s of %v: %w", row.GetKey(), peer, err)
+		}
+	}
+	changes, err := changesFromProto(res.Msg)
+	return changes, time.Duration(res.Msg.GetAgeMillis()) * time.Millisecond, err
+}
+
 func changesFromProto(m *peerv1.RowsChanges) (store.Changes, error) {
 	if err := failureFromProto(m.GetFailure()); err != nil {
 		return store.Changes{}, fmt.Errorf("read changes: %w", err)
--- a/internal/node/rowshandler.go
+++ b/internal/node/rowshandler.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/baobabquay/baobabquay/internal/peerv1"
 	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/baobabquay/baobabquay/internal/tree"
 	"github.com/pkg/errors"
 )
 
@@ -16,6 +17,10 @@
 type rowsHandler struct {
 	table store.Table
 	feed  store.Feed
+	// copies are the copies of tables that the instance keeps, by table. packer
+	// compresses their rows.
+	copies map[string]*tree.Copy
+	packer *tree.Packer
 	// slots is a semaphore with one slot for each concurrent call.
 	slots chan struct{}
 }
@@ -45,8 +50,10 @@
 	{store.ErrUnavailable, peerv1.RowsFailure_ROWS_FAILURE_UNAVAILABLE},
 }
 
-func newRowsHandler(table store.Table, feed store.Feed) *rowsHandler {
-	return &rowsHandler{table: table, feed: feed, slots: make(chan struct{}, maxForwardedCalls)}
+func newRowsHandler(table store.Table, feed store.Feed, copies map[string]*tree.Copy) *rowsHandler {
+	return &rowsHandler{
+		table: table, feed: feed, copies: copies, packer: tree.NewPacker(), slots: make(chan struct{}, maxForwardedCalls),
+	}
 }
 
 // failureToProto returns the code of an error. An error without a code of its
@@ -142,13 +149,35 @@
 func (h *rowsHandler) Wait(
 	ctx context.Context, req *connect.Request[peerv1.RowsWaitRequest],
 ) (*connect.Response[peerv1.RowsChanges], error) {
+	if c, ok := h.copies[req.Msg.GetTable()]; ok && req.Msg.GetFromCopy() {
+		return h.waitCopy(ctx, c, req.Msg)
+	}
 	release, err := h.acquire()
 	if err != nil {
 		return nil, err
 	}
 	defer release()
-	maxWait := min(time.Duration(req.Msg.GetMostMillis())*time.Millisecond, maxForwardedWait)
-	return changesToProto(h.feed.Wait(ctx, req.Msg.GetTable(), req.Msg.GetAfter(), maxWait)), nil
+	return changesToProto(h.feed.Wait(ctx, req.Msg.GetTable(), req.Msg.GetAfter(), forwardedWait(req.Msg))), nil
+}
+
+func forwardedWait(m *peerv1.RowsWaitRequest) time.Duration {
+	return min(time.Duration(m.GetMostMillis())*time.Millisecond, maxForwardedWait)
+}
+
+// waitCopy waits for changes of a copy. It needs no slot, as it makes no call.
+func (h *rowsHandler) waitCopy(
+	ctx context.Context, c *tree.Copy, m *peerv1.RowsWaitRequest,
+) (*connect.Response[peerv1.RowsChanges], error) {
+	changes, age, err := c.Wait(ctx, m.GetAfter(), forwardedWait(m))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	res := changesToProto(changes, nil)
+	res.Msg.AgeMillis = age.Milliseconds()
+	for i, row := range res.Msg.Rows {
+		row.Value, row.Packed = h.packer.Pack(changes.Rows[i].Row)
+	}
+	return res, nil
 }
 
 func changesToProto(c store.Changes, err error) *connect.Response[peerv1.RowsChanges] {
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -64,6 +64,9 @@
 		// OnResult is called with the error of each failed call and with nil after
 		// each successful call, once its changes have been applied.
 		OnResult func(err error)
+		// OnVersion, if not nil, is called after each successful call with the
+		// version up to which all changes have been applied.
+		OnVersion func(version int64)
 		// ObserveLatency, if not nil, is called with the time that the store
 		// took to answer, beyond the wait for a change. It is not called for
 		// waits that a change ended.
@@ -182,6 +185,9 @@
 				rereadDelay = 0
 			}
 			version, snapshot = max(version, c.Version), false
+			if f.OnVersion != nil {
+				f.OnVersion(version)
+			}
 		case IsLagging(err):
 			// The first snapshot after a dropped history is read at once. If the
 			// reads of the store lag so far that the changes after the snapshot
