--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -84,8 +84,10 @@
 	// answerMargin is added to the wait for a change in the time until the answer
 	// begins. It allows for a round trip between regions and a slow store.
 	answerMargin = 700 * time.Millisecond
-	// answerStall bounds the time between two parts of an answer.
-	answerStall = 700 * time.Millisecond
+	// answerStall bounds the time between two parts of an answer, and maxTransfer that
+	// of the whole answer, in which 10 MB arrive at 10 Mbit/s.
+	answerStall = time.Second
+	maxTransfer = 8 * time.Second
 	// feedRetryDelay is the pause after a failed call. It is short because a follower
 	// must see a new configuration within 2.5 s of the store's recovery.
 	feedRetryDelay = 150 * time.Millisecond
@@ -206,7 +208,7 @@
 
 // read returns a snapshot of the table at minVersion or a later version.
 func (f *Follower) read(ctx context.Context, minVersion int64) (Changes, error) {
-	ctx, cancel := WithAnswerTimeout(ctx, readTimeout, answerStall)
+	ctx, cancel := AnswerTimeout{First: readTimeout, Stall: answerStall, Transfer: maxTransfer}.Context(ctx)
 	defer cancel()
 	start := time.Now()
 	c, err := f.Feed.Read(ctx, f.Table)
@@ -222,7 +224,7 @@
 // wait waits up to maxWait for changes after a version. If none ended the wait,
 // it reports the latency of the store to f.ObserveLatency.
 func (f *Follower) wait(ctx context.Context, after int64, maxWait time.Duration) (Changes, error) {
-	ctx, cancel := WithAnswerTimeout(ctx, maxWait+answerMargin, answerStall)
+	ctx, cancel := AnswerTimeout{First: maxWait + answerMargin, Stall: answerStall, Transfer: maxTransfer}.Context(ctx)
 	defer cancel()
 	start := time.Now()
 	c, err := f.Feed.Wait(ctx, f.Table, after, maxWait)
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
 // progressKey is the key of the function in a context that ReportProgress calls.
 type progressKey struct{}
 
-const (
-	// maxTransfer bounds the time in which an answer arrives, from its first bytes
-	// on. It lets 4 MB through at 4 Mbit/s.
-	maxTransfer = 8 * time.Second
-)
-
 // WithProgress returns a context for a call that reports to f each time that a part of
 // the answer has arrived, after it has reported to the functions of ctx.
 func WithProgress(ctx context.Context, f func()) context.Context {
@@ -33,19 +28,32 @@
 	}
 }
 
-// WithAnswerTimeout returns a context that ends with context.DeadlineExceeded as its
-// cause if no part of the answer has arrived after first, or none has arrived for stall
-// since the latest one. How long an answer takes grows with its size and with what else
-// uses the path, so a limit on the whole answer would discard what has arrived and send
-// the same bytes again.
-func WithAnswerTimeout(ctx context.Context, first, stall time.Duration) (context.Context, context.CancelFunc) {
+// AnswerTimeout bounds the time of a call by what has arrived of its answer. How long an
+// answer takes grows with its size and with what else uses the path, so a limit on the
+// whole answer alone would discard what has arrived and send the same bytes again.
+type AnswerTimeout struct {
+	// First bounds the time until the answer begins, and Stall the time between two
+	// parts of it.
+	First time.Duration
+	Stall time.Duration
+	// Transfer bounds the time of the whole answer from its first part on.
+	Transfer time.Duration
+}
+
+// Context returns a context for one call, which ends with context.DeadlineExceeded as
+// its cause at one of the limits.
+func (t AnswerTimeout) Context(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	expire := func() { cancel(context.DeadlineExceeded) }
-	timer, limit := time.AfterFunc(first, expire), time.AfterFunc(first+maxTransfer, expire)
-	progress := WithProgress(ctx, func() { timer.Reset(stall) })
+	pause, whole := time.AfterFunc(t.First, expire), time.AfterFunc(t.First+t.Transfer, expire)
+	var begin sync.Once
+	progress := WithProgress(ctx, func() {
+		begin.Do(func() { whole.Reset(t.Transfer) })
+		pause.Reset(t.Stall)
+	})
 	return progress, func() {
-		timer.Stop()
-		limit.Stop()
+		pause.Stop()
+		whole.Stop()
 		cancel(context.Canceled)
 	}
 }
--- a/internal/tree/feed.go
+++ b/internal/tree/feed.go
@@ -47,8 +47,12 @@
 	// With the wait it must leave time for a call to the store within the limits of
 	// store.Follower.
 	parentMargin = 300 * time.Millisecond
-	// parentStall bounds the time between two parts of a parent's answer.
-	parentStall = time.Second
+	// parentStall bounds the time between two parts of a parent's answer. It is shorter
+	// than that of store.Follower, like parentMargin.
+	parentStall = 500 * time.Millisecond
+	// parentTransfer bounds the time of a parent's whole answer. The store may be
+	// reached over a better path than a parent on a slow link.
+	parentTransfer = 1500 * time.Millisecond
 )
 
 // New returns a Feed.
@@ -81,7 +85,7 @@
 		return f.waitDirect(ctx, table, after, maxWait, "root")
 	}
 	started := time.Now()
-	callCtx, cancel := store.WithAnswerTimeout(ctx, maxWait+parentMargin, parentStall)
+	callCtx, cancel := store.AnswerTimeout{First: maxWait + parentMargin, Stall: parentStall, Transfer: parentTransfer}.Context(ctx)
 	defer cancel()
 	changes, age, err := f.WaitCopy(callCtx, parent, table, after, maxWait)
 	switch {
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -29,8 +29,10 @@
 type node struct {
 	*Feed
 	copy *Copy
-	// silent makes calls of its copy hang.
+	// silent makes calls of its copy hang, and slow makes the answers arrive in small
+	// parts for ever.
 	silent atomic.Bool
+	slow   atomic.Bool
 	// directCalls counts the calls at the store.
 	directCalls atomic.Int64
 	// rows are the applied rows.
@@ -60,7 +62,11 @@
 			store.Changes, time.Duration, error,
 		) {
 			changes, age, err := parent().copy.Wait(ctx, after, maxWait)
-			if parent().silent.Load() {
+			for parent().slow.Load() && ctx.Err() == nil {
+				store.ReportProgress(ctx)
+				time.Sleep(100 * time.Millisecond)
+			}
+			if parent().silent.Load() || ctx.Err() != nil {
 				<-ctx.Done()
 				return store.Changes{}, 0, ctx.Err()
 			}
@@ -105,7 +111,7 @@
 // TestChangeBelowFailingParent guards against an instance that misses a change because
 // its parent is silent or does not reach the store.
 func TestChangeBelowFailingParent(t *testing.T) {
-	for _, failure := range []string{"none", "silent", "store refuses the parent"} {
+	for _, failure := range []string{"none", "silent", "slow", "store refuses the parent"} {
 		t.Run(failure, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				table, parentTable := fakes.NewTable(), fakes.NewTable()
@@ -118,6 +124,9 @@
 				switch failure {
 				case "silent":
 					root.silent.Store(true)
+				case "slow":
+					put(t, parentTable, "config", "1")
+					root.slow.Store(true)
 				case "store refuses the parent":
 					parentTable.Faults.Set(fakes.Fault{Kind: fakes.Down})
 				default:
