--- a/internal/detour/directory.go
+++ b/internal/detour/directory.go
@@ -69,8 +69,8 @@
 	// seconds.
 	rowRefreshAge = 10 * time.Minute
 	rowExpiry     = time.Hour
-	// callTimeout bounds one call of the table service; a slow service answers
-	// within a quarter of a second.
+	// callTimeout bounds one call of the table service, and the pauses of the answer
+	// to a read; a slow service answers within a quarter of a second.
 	callTimeout = 900 * time.Millisecond
 	// avoidDuration is how long a peer that has not answered is listed last.
 	avoidDuration = 5 * time.Second
@@ -111,7 +111,7 @@
 // refresh applies the changes after a version, or the whole table if the version
 // is 0, and returns the version after which to read next.
 func (d *Directory) refresh(ctx context.Context, version int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := store.AnswerTimeout{First: callTimeout, Stall: callTimeout, Transfer: maxReadInterval}.Context(ctx)
 	defer cancel()
 	var changes store.Changes
 	var err error
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -22,9 +22,11 @@
 }
 
 const (
-	// readTimeout bounds one attempt to read a table, and readRetryInterval is
-	// the pause before the next attempt.
+	// readTimeout bounds the time until an answer begins in an attempt to read a
+	// table, and between two parts of it, and maxLoadTime the whole attempt.
+	// readRetryInterval is the pause before the next one.
 	readTimeout       = 2 * time.Second
+	maxLoadTime       = time.Minute
 	readRetryInterval = 100 * time.Millisecond
 	// lookUpTimeout bounds one transaction that looks up rows.
 	lookUpTimeout = time.Second
@@ -133,7 +135,7 @@
 	behind := false
 	for {
 		start := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		callCtx, cancel := store.AnswerTimeout{First: readTimeout, Stall: readTimeout, Transfer: maxLoadTime}.Context(ctx)
 		changes, err := t.Feed.ReadSince(callCtx, table, minVersion())
 		cancel()
 		switch {
