--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -109,13 +109,13 @@
 }
 
 // handOverTimeout bounds the call of a new leader to the former one, which is
-// often no longer running.
-const handOverTimeout = 150 * time.Millisecond
+// often no longer running. Progress that cannot be received in time would be lost.
+var handOverTimeout = store.AnswerTimeout{First: 150 * time.Millisecond, Stall: 150 * time.Millisecond, Transfer: 2 * time.Second}
 
 // handOver requests from the former leader the job progress that it could not
 // store.
 func (l *leaderService) handOver(ctx context.Context, former netip.AddrPort, epoch int64) (map[graph.ID]graph.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	ctx, cancel := handOverTimeout.Context(ctx)
 	defer cancel()
 	res, err := l.client(former).HandOver(ctx, connect.NewRequest(&peerv1.HandOverRequest{Epoch: epoch}))
 	if err != nil {
