--- a/internal/detour/doc.go
+++ b/internal/detour/doc.go
@@ -17,7 +17,9 @@
 // # Membership
 //
 // A Directory reads the table "instances", in which each instance keeps its
-// address. A peer forwards a call once, and only to the service.
+// address, region and processor limit. A peer forwards a call once, and only to the
+// service. From the same rows follows the parent of an instance in the tree of its
+// region, along which package tree distributes the operators' table.
 //
 // # Usage
 //
--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -20,6 +20,14 @@
 //		Puts:   []store.Put{{Key: row.Key, Value: value}},
 //	})
 //
+// Callers bound reads, whose answers may be large, by the pauses of the answer:
+//
+//	ctx, cancel := store.AnswerTimeout{First: first, Stall: stall, Transfer: transfer}.Context(ctx)
+//	defer cancel()
+//	changes, err := feed.Read(ctx, "jobs")
+//
+// The client calls ReportProgress each time that a part of the answer has arrived.
+//
 // A Commit that fails with ErrUncertain may have taken effect. The caller must
 // read the rows again and compare them before it retries or reports a failure.
 // CommitResolved does so.
