--- a/internal/detour/directory.go
+++ b/internal/detour/directory.go
@@ -75,7 +75,7 @@
 	// avoidDuration is how long a peer that has not answered is listed last.
 	avoidDuration = 5 * time.Second
 	// fanOut is the number of children of an instance in the tree of its region. The
-	// 74 instances of the largest region today are at most 4 levels below the root.
+	// 74 instances of the largest region today are at most 3 levels below the root.
 	fanOut = 4
 	// maxRemovedRows bounds the expired rows that one transaction removes.
 	maxRemovedRows = 50
