--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -8,8 +8,13 @@
 
 var whole = demand{CPU: 64000, Mem: 262144, GPU: 8}
 
-// settle gives the leader time to read the list of runners.
-const settle = 3 * time.Second
+const (
+	// settle gives the leader time to read the list of runners.
+	settle = 3 * time.Second
+	// restartTime is above reuse_after_s and below the three heartbeats after which
+	// the entry of a silent runner is removed.
+	restartTime = 2500 * time.Millisecond
+)
 
 // stalled: a job of one long task near its data. The runner near the data is lost
 // for good, so the task runs far from it, where each percent takes 2.1 s.
@@ -36,7 +41,7 @@
 }
 
 // kindChanged: two runners crash. One, the only one of kind b, is lost for good;
-// the other starts again at once, under its id and address, as one of kind b.
+// the other starts again 2.5 s later, under its id and address, as one of kind b.
 func kindChanged(s *scene) {
 	const services = "render"
 	s.configure(1, []string{services}, route{"q", "/q/", services})
@@ -49,7 +54,7 @@
 	if s.trouble {
 		s.runners[15].crash()
 		s.runners[14].crash()
-		time.Sleep(time.Second)
+		time.Sleep(restartTime)
 		s.runners[14].boot("b")
 	}
 	time.Sleep(8 * time.Second)
@@ -141,7 +146,7 @@
 
 // lateStart: among the starts of 20 small jobs, the first try of one gets no answer
 // and is carried out 9 s later. Its second try is carried out and the task ends.
-// Then the runner, which is idle, restarts within a second under its id.
+// Then the runner, which is idle, restarts under its id.
 func lateStart(s *scene) {
 	const services, small, late = "render", 20, 9 * time.Second
 	s.configure(1, []string{services}, route{"q", "/q/", services})
@@ -178,7 +183,7 @@
 	}
 	if s.trouble {
 		s.late.crash()
-		time.Sleep(time.Second)
+		time.Sleep(restartTime)
 		s.late.boot("a")
 	}
 	time.Sleep(late)
