--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out; KEEP_LOGS=1 keeps the logs of the instances.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/baobabquayd ] && [ -x target/review-standin ] || { echo "build first: see review/REPORT.md" >&2; exit 2; }
-exec target/review-standin kind review/3
+exec target/review-standin cancelled review/3
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -264,3 +265,41 @@
 		s.breach("LOST: %d tasks that last have not begun in 30 s", count-len(started))
 	}
 }
+
+// cancelled: the store gives no answer for 3 s. A job is handed in and gets no
+// certain answer, and its caller cancels it as soon as the store is back. What the
+// store has received in the outage takes effect 6 s after its arrival.
+func cancelled(s *scene) {
+	const (
+		services         = "render"
+		outage, lateness = 3 * time.Second, 6 * time.Second
+		// calm is the time after a disruption that no longer counts as near, and gone
+		// the time after which a task of a cancelled job has ended: cancel_ms and
+		// stop_ms.
+		calm, gone = 4 * time.Second, 3200 * time.Millisecond
+	)
+	s.configure(1, []string{services}, route{"q", "/q/", services})
+	for i := 1; i <= 4; i++ {
+		s.addRunner(fmt.Sprintf("i-%02d", i), services, "a", "r1", whole)
+	}
+	s.startInstances(3)
+	time.Sleep(settle)
+	begin := time.Now()
+	if s.trouble {
+		s.store.silence(outage, lateness)
+	}
+	j := s.newJob(&job{Queue: "/q/", Steps: []step{{demand: demand{8000, 16384, 1}, Count: 1, EstimateMS: 30000, work: 30 * time.Second}}})
+	s.callOnce(http.MethodPost, j.Queue+j.ID, j)
+	time.Sleep(time.Until(begin.Add(outage + 100*time.Millisecond)))
+	status, _ := s.call(http.MethodDelete, j.Queue+j.ID, nil)
+	if status/100 != 2 && status != http.StatusGone {
+		abort(fmt.Errorf("the cancelling was not acknowledged: %d", status))
+	}
+	time.Sleep(time.Until(begin.Add(outage + lateness + calm + gone)))
+	for _, x := range s.taskRuns(j.ID) {
+		if x.ended.IsZero() {
+			s.breach("UNASKED: %s is running at %s, %v after the cancelling of its job was acknowledged with %d; the job is shown as %s",
+				x.task, x.runner, time.Since(begin.Add(outage)).Round(100*time.Millisecond), status, s.phase(j))
+		}
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,14 +18,15 @@
 )
 
 var cases = map[string]func(*scene){
-	"stalled": stalled,
-	"kind":    kindChanged,
-	"moved":   queueMoved,
-	"lasting": lastingFails,
-	"near":    nearRackFull,
-	"late":    lateStart,
-	"overdue": overdue,
-	"wide":    wide,
+	"stalled":   stalled,
+	"kind":      kindChanged,
+	"moved":     queueMoved,
+	"lasting":   lastingFails,
+	"near":      nearRackFull,
+	"late":      lateStart,
+	"overdue":   overdue,
+	"wide":      wide,
+	"cancelled": cancelled,
 }
 
 func main() {
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -305,18 +305,9 @@
 // call makes a call of a client at the next instance. After no response, a 502 or a
 // 504 it is repeated at another one.
 func (s *scene) call(method, path string, body any) (int, string) {
-	var encoded []byte
-	if body != nil {
-		encoded, _ = json.Marshal(body)
-	}
 	status, answer := 0, ""
-	for try := range 5 {
-		s.mu.Lock()
-		inst := s.instances[s.nextCall%len(s.instances)]
-		s.nextCall++
-		s.mu.Unlock()
-		status, answer = send(method, inst.front, path, encoded)
-		s.logf("%s %s at %s, try %d: %d %s", method, path, inst.name, try+1, status, answer)
+	for range 5 {
+		status, answer = s.callOnce(method, path, body)
 		if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout && status != http.StatusServiceUnavailable {
 			break
 		}
@@ -325,6 +316,21 @@
 	return status, answer
 }
 
+// callOnce makes a call of a client at the next instance.
+func (s *scene) callOnce(method, path string, body any) (int, string) {
+	var encoded []byte
+	if body != nil {
+		encoded, _ = json.Marshal(body)
+	}
+	s.mu.Lock()
+	inst := s.instances[s.nextCall%len(s.instances)]
+	s.nextCall++
+	s.mu.Unlock()
+	status, answer := send(method, inst.front, path, encoded)
+	s.logf("%s %s at %s: %d %s", method, path, inst.name, status, answer)
+	return status, answer
+}
+
 func send(method, address, path string, body []byte) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
@@ -361,16 +367,21 @@
 	return j
 }
 
-// offer sends a job and reports whether it was accepted.
-func (s *scene) offer(j *job) bool {
-	prefix := j.Queue
+// newJob gives a job its identifier and its text.
+func (s *scene) newJob(j *job) *job {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.nextID++
 	j.ID = fmt.Sprintf("%016x", 0x5c0e7a2100000000+s.nextID)
 	j.Spec = "spec of " + j.ID
 	s.jobs[j.ID] = j
-	s.mu.Unlock()
-	if status, _ := s.call(http.MethodPost, prefix+j.ID, j); status/100 != 2 {
+	return j
+}
+
+// offer sends a job and reports whether it was accepted.
+func (s *scene) offer(j *job) bool {
+	s.newJob(j)
+	if status, _ := s.call(http.MethodPost, j.Queue+j.ID, j); status/100 != 2 {
 		return false
 	}
 	s.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,6 +36,11 @@
 	started time.Time
 	// parts serializes the transactions on one part.
 	parts map[string]*sync.Mutex
+	// silentUntil is the end of an outage in which no call is answered. The
+	// transactions that arrive in it are carried out lateness after their arrival,
+	// if their checks still hold.
+	silentUntil time.Time
+	lateness    time.Duration
 }
 
 const (
@@ -84,7 +93,29 @@
 	mux.HandleFunc("POST /v1/rows-tx", s.transact)
 	mux.HandleFunc("GET /v1/rows-get", s.get)
 	mux.HandleFunc("GET /v1/rows-feed", s.feed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		silent, lateness := time.Now().Before(s.silentUntil), s.lateness
+		s.mu.Unlock()
+		if !silent {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		if body, err := io.ReadAll(r.Body); err == nil && r.Method == http.MethodPost {
+			late := r.Clone(context.Background())
+			late.Body = io.NopCloser(bytes.NewReader(body))
+			time.AfterFunc(lateness, func() { mux.ServeHTTP(httptest.NewRecorder(), late) })
+		}
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// silence begins an outage.
+func (s *store) silence(d, lateness time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentUntil, s.lateness = time.Now().Add(d), lateness
 }
 
 // reply sends a response with the version and the steady clock of the store.
