--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,16 +17,19 @@
 	"time"
 )
 
+// cases are the cases by name. The first five have a directory beside this one, the
+// others are described in REPORT.md.
 var cases = map[string]func(*scene){
-	"stalled":   stalled,
-	"kind":      kindChanged,
-	"moved":     queueMoved,
-	"lasting":   lastingFails,
-	"near":      nearRackFull,
-	"late":      lateStart,
 	"overdue":   overdue,
-	"wide":      wide,
+	"late":      lateStart,
 	"cancelled": cancelled,
+	"kind":      kindChanged,
+	"stalled":   stalled,
+
+	"moved":   queueMoved,
+	"lasting": lastingFails,
+	"wide":    wide,
+	"near":    nearRackFull,
 }
 
 func main() {
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -31,7 +31,6 @@
 		IntervalMS int64  `json:"interval_ms,omitempty"`
 		// accepted is the time of the first 2xx answer, zero if there was none.
 		accepted time.Time
-		rejected int
 	}
 
 	// instance is an instance of the system. Its process is started again after it
@@ -89,10 +88,8 @@
 	return l
 }
 
-// freeAddress returns a loopback address whose port is free. Ports of later
-// connections come from the same range, so each process has an address of its own.
-var lastHost = 1
-
+// freeAddress returns a loopback address that nothing else uses. Connections that the
+// system makes come from 127.0.0.1, so none of them can occupy its port.
 func freeAddress() string {
 	lastHost++
 	l, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", os.Getpid()%250, lastHost))
@@ -113,7 +110,10 @@
 }
 
 var (
+	// current is the scene that abort stops.
 	current *scene
+	// lastHost is the last part of the address that freeAddress has returned.
+	lastHost = 1
 	// starts takes functions that start processes. They run on one thread that
 	// never ends, since a process is killed with the thread that has started it.
 	starts = make(chan func())
