Start the instances of TestCycleConfirmsItself in order

Cause: the test started both instances at the same instant and took for granted that the first one asks before the second one has a copy, and so turns to the store for 5 s. A trace of a failing run shows the other order: both read the table at 0 s, follow each other from then on, and find each other's copies out of date at 6.3 s, before the change at 8 s. The product does what it should in both orders.

The test now waits until the first instance has asked. Its checks and bounds are as before.

--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -155,8 +155,10 @@
 		var a, b atomic.Pointer[node]
 		a.Store(&node{copy: NewCopy()})
 		b.Store(startNode(t.Context(), table, a.Load))
+		// While a has no copy, b turns to the store for 5 s. If both had copies from the
+		// start, the cycle would end before the change.
+		synctest.Wait()
 		a.Store(startNode(t.Context(), table, b.Load))
-		// At first a has no copy, and b follows the table at the store for 5 s.
 		time.Sleep(8 * time.Second)
 		calls := a.Load().directCalls.Load() + b.Load().directCalls.Load()
 		put(t, table, "config", "2")
