Let the time after which a task counts as stalled follow the task

Cause: lead.stopStalled took a run for stalled if its whole percent had not changed for 1.5 s, whatever its estimate, began it anew, and quarantined the worker at once, for up to 30 s. Nothing but a task that ends resets that. In the record each run is stopped 2 to 2.3 s after its begin and the pauses grow from 3 to 24 s. Ruled out: reports that come late (they come each 0.1 s while a run is in doubt) and the rack of the data (the second run starts elsewhere within 5 s of the crash).

Change (lead/stall.go): the limit is eight times what a percent should take by the estimate, or takes by the progress of the run, and 1.5 s at least; it doubles each time the unit is stopped, so that no estimate is wrong enough to keep a task from ending. A worker is quarantined for stalls only after tasks of two jobs have stalled there without progress of any between them, never more than a quarter of a service's workers at a time, and not for backfill tasks, which get idle processors only. Progress ends such a quarantine, and a step that no other worker can run uses quarantined ones. A gang that stalls avoids all of its workers but those on which another task has advanced meanwhile, where it avoided one at random before.

TestSlowTasksStopped fails before in all six cases (jobs do not end): estimated, underestimated, without estimate, gang, many jobs, leader lost; it passes now.

--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -65,6 +65,7 @@
 		progress: p, placements: make(map[*placement]bool),
 		avoid:       make(map[stepKey]map[pool.WorkerID]bool),
 		preemptions: make(map[stepKey]int),
+		stalls:      make(map[unitKey]int),
 		lastRun:     (t.Epoch - 1) * runsPerEpoch,
 	}
 	j.nextDue = p.Open(time.Now())
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -44,6 +44,10 @@
 		percent      int
 		progressedAt time.Time // when percent last changed
 		listedAt     time.Time // when the worker last listed the run
+		// firstPercent is the percent at firstListedAt, when the worker first
+		// listed the run.
+		firstPercent  int
+		firstListedAt time.Time
 	}
 )
 
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -11,14 +11,9 @@
 )
 
 const (
-	// stallAfter is the time without progress after which a task counts as
-	// stalled. The users' longest tasks advance one percent in 0.15 s, and in
-	// under 1 s on their slowest workers. A resumed task takes up to 0.6 s until
-	// it makes progress.
-	stallAfter = 1500 * time.Millisecond
-	// recheckAfter is the time without progress after which the worker is asked
-	// again soon.
-	recheckAfter = 500 * time.Millisecond
+	// recheckShare is the share of its stall limit that a task is without progress
+	// before its worker is asked again soon.
+	recheckShare = 3
 	// fullPercent is the progress of a task that is about to end. It does not
 	// count as stalled.
 	fullPercent = 100
@@ -210,13 +205,12 @@
 }
 
 // applyRunning records the progress of a run, or stops a run that is not placed. It
-// reports whether the run has made no progress for longer than recheckAfter.
+// reports whether the run may soon count as stalled.
 func (t *term) applyRunning(w *worker, r agent.Run, now time.Time) bool {
 	m := w.members[r.Task]
 	if m != nil && m.placement.run == r.Run {
-		m.listedAt = now
-		if r.Percent != m.percent {
-			m.percent, m.progressedAt = r.Percent, now
+		if m.recordPercent(r.Percent, now) {
+			t.clearStalls(w, now)
 		}
 		if r.Saved != "" && r.Saved != m.placement.job.progress.Saved(r.Task) {
 			m.placement.job.progress.Save(r.Task, r.Saved)
@@ -224,7 +218,7 @@
 		if m.confirmedAt.IsZero() {
 			m.confirmedAt = now
 		}
-		return m.idle() > recheckAfter
+		return m.idle() > m.stallLimit()/recheckShare
 	}
 	if m != nil && m.placement.run > r.Run && !m.startSent {
 		return false
@@ -250,54 +244,3 @@
 		t.endMember(m, graph.Lost, "")
 	}
 }
-
-// stopStalled stops placements with a task that makes no progress, so that they
-// are placed again, on other workers if there are any.
-func (t *term) stopStalled(now time.Time) {
-	for p := range t.placements {
-		if p.Stopping || p.Since.IsZero() || p.Unit.Spec().LongRunning {
-			continue
-		}
-		if m := p.stalled(); m != nil {
-			t.Log.Write(event.TaskStalled, "task", m.task.String(), "run", p.run, "worker", string(m.worker.info.ID),
-				"percent", m.percent, "since", m.idle().String())
-			t.avoidForStep(p, m.worker)
-			t.quarantine(m.worker, now, "stalled")
-			t.stopPlacement(p, "stalled")
-		}
-	}
-}
-
-// stalled returns the member with the least progress among those that have made
-// none for stallAfter, or nil if there are none.
-func (p *placement) stalled() *member {
-	var slowest *member
-	for _, m := range p.members {
-		if m.ended || m.percent >= fullPercent || m.idle() < stallAfter {
-			continue
-		}
-		if slowest == nil || m.percent < slowest.percent {
-			slowest = m
-		}
-	}
-	return slowest
-}
-
-// idle returns how long the worker's reports have shown no progress. Tasks of a
-// gang make progress only after the last of them has started, so the time counts
-// from then.
-func (m *member) idle() time.Duration {
-	from := m.progressedAt
-	for _, other := range m.placement.members {
-		if other.ended {
-			continue
-		}
-		if other.confirmedAt.IsZero() {
-			return 0
-		}
-		if other.confirmedAt.After(from) {
-			from = other.confirmedAt
-		}
-	}
-	return max(m.listedAt.Sub(from), 0)
-}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -88,6 +88,8 @@
 		// preemptions counts how often a step was stopped to free capacity for
 		// another unit.
 		preemptions map[stepKey]int
+		// stalls counts how often a unit was stopped because it had stalled.
+		stalls map[unitKey]int
 		// lastRun is the highest run number used so far.
 		lastRun int64
 		// dirty reports whether the progress has changed since it was last put
@@ -104,6 +106,12 @@
 		step       int
 	}
 
+	// unitKey identifies a unit of a job by its first member.
+	unitKey struct {
+		stepKey
+		first int
+	}
+
 	// pacer determines when the next scheduling decision is due.
 	pacer struct {
 		// changed reports whether anything that decisions depend on has changed
@@ -182,8 +190,7 @@
 	// decision takes tens of milliseconds, and without the pause reports and
 	// lease renewals would be late.
 	decisionPauseFactor = 2
-	// stallCheckInterval is the time between two searches for stalled tasks,
-	// which have made no progress for stallAfter, 1.5 s.
+	// stallCheckInterval is the time between two searches for stalled tasks.
 	stallCheckInterval = 100 * time.Millisecond
 	// statusShards is the number of shards of the status map, each with its own
 	// lock.
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -54,6 +54,10 @@
 		failures int
 		// quarantines counts the quarantines since the last successful run.
 		quarantines int
+		// stalledJobs has the jobs of which a task has stalled on the worker since
+		// any of its tasks has made progress, at advancedAt.
+		stalledJobs map[graph.ID]bool
+		advancedAt  time.Time
 		// lastReport is logged with runs that are given up as lost.
 		lastReport reportSummary
 		// lastEndNumber is the highest number of an end that was listed by the
@@ -81,6 +85,12 @@
 	maxQuarantine = 30 * time.Second
 )
 
+// Reasons of a quarantine.
+const (
+	quarantinedForFailures = "failures"
+	quarantinedForStalls   = "stalled"
+)
+
 // applyWorkers applies changes of the platform's list.
 func (t *term) applyWorkers(c workerChanges) {
 	present := make(map[pool.WorkerID]bool, len(c.Rows))
@@ -295,7 +305,7 @@
 	if w.failures < quarantineAfter {
 		return
 	}
-	t.quarantine(w, now, "failures")
+	t.quarantine(w, now, quarantinedForFailures)
 }
 
 // quarantine excludes a worker from new tasks for a while.
@@ -308,9 +318,9 @@
 	w.quarantines++
 	// After the quarantine, a single failure starts the next one.
 	w.failures = quarantineAfter - 1
-	p.QuarantinedUntil = now.Add(duration)
+	p.QuarantinedUntil, p.Stalled = now.Add(duration), reason == quarantinedForStalls
 	t.Log.Write(event.WorkerBarred, "worker", string(w.info.ID), "reason", reason, "for", duration.String())
 }
 
 // resetFailures resets the counts after a successful run.
-func (w *worker) resetFailures() { w.failures, w.quarantines = 0, 0 }
+func (w *worker) resetFailures() { w.failures, w.quarantines, w.stalledJobs = 0, 0, nil }
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -112,10 +112,18 @@
 		// spare has the accelerators that units without urgency may still use, by
 		// service. It is nil if there is no limit.
 		spare map[string]int64
+		// onlyStalled caches the answers of Pool.OnlyStalled.
+		onlyStalled map[workerKind]bool
 		// searches counts the searches for victims.
 		searches int
 	}
 
+	// workerKind is what a step requires of a worker whatever its capacity.
+	workerKind struct {
+		service string
+		label   string
+	}
+
 	stepKey struct {
 		job        graph.ID
 		occurrence int
@@ -164,7 +172,7 @@
 	return &round{
 		Policy: p, View: v, now: now, urgentUsed: v.countUrgentAccelerators(), noFit: make(map[stepKey]bool),
 		taskCounts: make(map[stepKey]map[pool.WorkerID]int), decision: Decision{Waits: make(map[string]int)},
-		spare: p.SpareAccelerators(now, v),
+		spare: p.SpareAccelerators(now, v), onlyStalled: make(map[workerKind]bool),
 	}
 }
 
@@ -245,9 +253,23 @@
 	if r.Avoid != nil {
 		req.Avoid = r.Avoid(u)
 	}
+	req.AllowStalled = r.allowStalled(req)
 	return req
 }
 
+// allowStalled reports whether the request may use workers that are quarantined for
+// stalled tasks: no other worker can run its tasks, which would wait in vain if they
+// are slow rather than stalled.
+func (r *round) allowStalled(req pool.Request) bool {
+	kind := workerKind{req.Service, req.Label}
+	only, known := r.onlyStalled[kind]
+	if !known {
+		only = r.Pool.OnlyStalled(req)
+		r.onlyStalled[kind] = only
+	}
+	return only
+}
+
 func stepKeyOf(u graph.Unit) stepKey {
 	return stepKey{u.Progress.Job.ID, u.Occurrence, u.Step}
 }
--- a/internal/plan/decide_test.go
+++ b/internal/plan/decide_test.go
@@ -155,6 +155,16 @@
 		{"gang wider than any rack does not wait for one", func(v *View) {
 			v.Waiting = append(v.Waiting, newUnit("wide", "a", 1, time.Second, gangStep(3, gpus(8))))
 		}},
+		{"quarantined for stalled tasks, another worker is usable", func(v *View) {
+			for _, id := range []pool.WorkerID{"w00", "w01", "w10"} {
+				v.Pool.Worker(id).QuarantinedUntil, v.Pool.Worker(id).Stalled = testTime.Add(time.Second), true
+			}
+			v.Waiting = append(v.Waiting, newUnit("first", "a", 1, 0, gangStep(1, gpus(8))), newUnit("second", "a", 1, 0, gangStep(1, gpus(8))))
+		}},
+		{"quarantined for stalled tasks, no other worker is usable", func(v *View) {
+			v.Pool.Each(func(w *pool.Worker) { w.QuarantinedUntil, w.Stalled = testTime.Add(time.Second), w.ID == "w01" })
+			v.Waiting = append(v.Waiting, newUnit("first", "a", 1, 0, gangStep(1, gpus(8))), newUnit("second", "a", 1, 0, gangStep(1, gpus(8))))
+		}},
 		{"wait for capacity near the data", func(v *View) {
 			addRunning(v, newUnit("there", "b", 1, 0, gangStep(2, gpus(8))), time.Second, "w10", "w11")
 			s := gangStep(2, gpus(4))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,9 @@
 		// QuarantinedUntil is the time until which the worker is quarantined:
 		// it gets no tasks, because tasks have failed or stalled there.
 		QuarantinedUntil time.Time
+		// Stalled reports whether the quarantine is for stalled tasks. Unlike a
+		// failed run, a stalled one costs the task no attempt.
+		Stalled bool
 	}
 
 	// Pool is a set of workers, grouped by rack. It is not safe for concurrent use.
@@ -64,6 +67,8 @@
 		// LocalOnly rules out workers outside DataRack, and more than one rack
 		// for a gang with SameRack.
 		LocalOnly bool
+		// AllowStalled permits workers that are quarantined for stalled tasks.
+		AllowStalled bool
 		// Free returns the free capacity of a worker for this request. If it is
 		// nil, Worker.Free applies.
 		Free func(*Worker) graph.Demand
@@ -149,7 +154,22 @@
 // Usable reports whether the worker may get tasks of the request, whatever its
 // free capacity.
 func (w *Worker) Usable(r *Request) bool {
-	return !w.Closed && !r.Now.Before(w.QuarantinedUntil) && w.Serves(r)
+	return !w.Closed && (r.AllowStalled && w.Stalled || !r.Now.Before(w.QuarantinedUntil)) && w.Serves(r)
+}
+
+// OnlyStalled reports whether all workers that would be usable for the request are
+// quarantined, some of them for stalled tasks.
+func (p *Pool) OnlyStalled(r Request) bool {
+	stalled := false
+	for _, w := range p.workers {
+		r.AllowStalled = false
+		if w.Usable(&r) {
+			return false
+		}
+		r.AllowStalled = true
+		stalled = stalled || w.Usable(&r)
+	}
+	return stalled
 }
 
 // Serves reports whether the worker belongs to the request's service and has its
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -79,6 +79,14 @@
 		{"avoided worker last", func(_ *Pool, r *Request) {
 			r.Count, r.TaskDemand, r.Avoid = 1, gpus(1), map[WorkerID]bool{"w00": true, "w10": true}
 		}},
+		{"stalled workers not allowed", func(p *Pool, r *Request) {
+			r.Count, r.TaskDemand = 1, gpus(1)
+			p.Each(func(w *Worker) { w.QuarantinedUntil, w.Stalled = now.Add(time.Second), w.ID != "w00" })
+		}},
+		{"stalled workers allowed", func(p *Pool, r *Request) {
+			r.Count, r.TaskDemand, r.AllowStalled = 1, gpus(1), true
+			p.Each(func(w *Worker) { w.QuarantinedUntil, w.Stalled = now.Add(time.Second), w.ID != "w00" })
+		}},
 		{"more than the capacity", func(_ *Pool, r *Request) { r.Count, r.TaskDemand = 60, gpus(1) }},
 	} {
 		p, r := newTestPool(), Request{Now: now, Service: "s"}
@@ -89,6 +97,27 @@
 	golden.Assert(t, b.String(), "choose.golden")
 }
 
+// TestOnlyStalled guards against tasks that wait for a worker that is quarantined for
+// stalled tasks although no other can run them, and against such a worker being used
+// beside others.
+func TestOnlyStalled(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, r := newTestPool(), Request{Now: now, Service: "s", Label: "b", Count: 1}
+	assert.Assert(t, !p.OnlyStalled(r), "no worker has the label")
+	w := p.Worker("w12")
+	w.Labels = []string{"b"}
+	assert.Assert(t, !p.OnlyStalled(r), "not quarantined")
+	w.QuarantinedUntil = now.Add(time.Second)
+	assert.Assert(t, !p.OnlyStalled(r), "quarantined for failures")
+	w.Stalled = true
+	assert.Assert(t, p.OnlyStalled(r))
+	w.Closed = true
+	assert.Assert(t, !p.OnlyStalled(r), "closed")
+	w.Closed = false
+	p.Worker("w11").Labels = []string{"b"}
+	assert.Assert(t, !p.OnlyStalled(r), "another worker is usable")
+}
+
 // TestChooseFits guards against placements that exceed the free capacity of a
 // worker or use a closed one, for any occupancy of the pool.
 func TestChooseFits(t *testing.T) {
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -43,8 +43,10 @@
 		// instances.
 		detours bool
 
-		mu             sync.Mutex
-		jobs           map[graph.ID]*graph.Job
+		mu   sync.Mutex
+		jobs map[graph.ID]*graph.Job
+		// durations has the durations of the tasks of some jobs.
+		durations      map[graph.ID]time.Duration
 		submitOutcomes map[graph.ID]accept.Outcome
 		cancelledAt    map[graph.ID]time.Time
 		finalPhases    map[graph.ID]finalPhase
@@ -330,9 +332,16 @@
 	return h.jobs[id]
 }
 
-// taskOutcome returns the duration of a task, from 1 to 2.4 s, and whether it
-// fails, which tasks of jobs do whose identifier starts with f.
+// taskOutcome returns the duration of a task, from 1 to 2.4 s if its job has none in
+// durations, and whether it fails, which tasks of jobs do whose identifier starts
+// with f.
 func (h *harness) taskOutcome(t graph.TaskID) (time.Duration, bool) {
+	h.mu.Lock()
+	duration, ok := h.durations[t.Job]
+	h.mu.Unlock()
+	if ok {
+		return duration, false
+	}
 	return time.Second + time.Duration(t.Index%8)*200*time.Millisecond, strings.HasPrefix(string(t.Job), "f")
 }
 
