Bound the occurrences of a timed job that are open at a time

The bound on a job's tasks in all, 1,048,576, is a bound on what it may run, and was used as one on memory. Ruled out: the accepting instances and the store (the job's own row is small).

Change: at most 500 occurrences and 2,000 tasks of a timed job are open at a time, and completed ones are closed: what has been opened and is not open is completed. So neither the number of overdue occurrences, nor the age of a job, nor one occurrence that never ends makes the state grow. What the scheduler knows of the units of completed occurrences is dropped, and a round of decisions tries equal units of several occurrences once.

--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -165,6 +165,15 @@
 // Occurrences returns the number of times that the graph runs.
 func (j *Job) Occurrences() int { return max(j.Times, 1) }
 
+// taskCount returns the number of tasks of one occurrence.
+func (j *Job) taskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // CriticalPath returns the length of the critical path by estimated run times.
 func (j *Job) CriticalPath() time.Duration {
 	longest := make([]time.Duration, len(j.Steps))
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -1,6 +1,8 @@
 package graph
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -11,8 +13,12 @@
 	// Progress is the state of a job's tasks. It is not safe for concurrent use.
 	Progress struct {
 		Job *Job
-		// Occurrences holds the occurrences that are due, indexed by number.
+		// Occurrences holds the open occurrences by ascending number: those that are
+		// due and not completed. Of all that are due, only some are open at a time.
 		Occurrences []*Occurrence
+		// opened is the number of occurrences that have been opened. Those of them
+		// that are not open any more are completed.
+		opened int
 		// Ended is the final phase of a job that has ended, else empty.
 		Ended Phase
 		// Reason is the reason of a failure.
@@ -27,6 +33,9 @@
 		Steps  []StepState
 		// remaining is the number of steps that are not done.
 		remaining int
+		// busy is the number of tasks that are busy. The tasks of a completed gang
+		// may be.
+		busy int
 	}
 
 	// StepState is the progress of a step.
@@ -67,6 +76,15 @@
 	}
 )
 
+const (
+	// maxOpenTasks and maxOpenOccurrences bound the tasks and the occurrences of a
+	// job that are open at a time, so that a job of which a million occurrences are
+	// overdue takes no more memory and time, and no larger row, than others. One
+	// occurrence is always open, whatever its number of tasks.
+	maxOpenTasks       = 2000
+	maxOpenOccurrences = 500
+)
+
 // reasonAttempts is the reason of a job that failed because a task or a gang has
 // no attempts left.
 const reasonAttempts = "attempts"
@@ -85,19 +103,51 @@
 	return &Progress{Job: j}
 }
 
-// Open adds the occurrences that are due at now. It returns the time at which
-// the next one is due, or the zero time if there is none.
+// Open opens the occurrences that are due at now, as many as the limits permit, and
+// closes those that are completed. It returns the time at which the next one is due.
+// The time is zero if there is none, or if the next one has to wait until a task ends.
 func (p *Progress) Open(now time.Time) time.Time {
-	for len(p.Occurrences) < p.Job.Occurrences() {
-		k := len(p.Occurrences)
-		if due := p.Job.Due(k); p.Job.Times > 0 && now.Before(due) {
+	p.closeCompleted()
+	tasks := p.Job.taskCount()
+	for p.opened < p.Job.Occurrences() {
+		if due := p.Job.Due(p.opened); p.Job.Times > 0 && now.Before(due) {
 			return due
 		}
-		p.Occurrences = append(p.Occurrences, newOccurrence(p.Job, k))
+		if n := len(p.Occurrences); n > 0 && (n >= maxOpenOccurrences || (n+1)*tasks > maxOpenTasks) {
+			break
+		}
+		p.Occurrences = append(p.Occurrences, newOccurrence(p.Job, p.opened))
+		p.opened++
 	}
 	return time.Time{}
 }
 
+// closeCompleted closes the completed occurrences none of whose tasks is busy. The
+// only occurrence of a job that runs once stays open.
+func (p *Progress) closeCompleted() {
+	if p.Job.Times == 0 {
+		return
+	}
+	p.Occurrences = slices.DeleteFunc(p.Occurrences, func(o *Occurrence) bool { return o.remaining == 0 && o.busy == 0 })
+}
+
+// occurrence returns the open occurrence with a number, or nil.
+func (p *Progress) occurrence(number int) *Occurrence {
+	i, ok := slices.BinarySearchFunc(p.Occurrences, number, func(o *Occurrence, n int) int { return cmp.Compare(o.Number, n) })
+	if !ok {
+		return nil
+	}
+	return p.Occurrences[i]
+}
+
+// isCompleted reports whether an occurrence was completed and closed.
+func (p *Progress) isCompleted(number int) bool {
+	return number < p.opened && p.occurrence(number) == nil
+}
+
+// IsOpen reports whether an occurrence is open.
+func (p *Progress) IsOpen(number int) bool { return p.occurrence(number) != nil }
+
 func newOccurrence(j *Job, k int) *Occurrence {
 	o := &Occurrence{Number: k, Steps: make([]StepState, len(j.Steps)), remaining: len(j.Steps)}
 	for i := range j.Steps {
@@ -163,16 +213,29 @@
 }
 
 // Task returns the progress of a task, or nil if the job has no such task or
-// its occurrence is not open yet.
+// its occurrence is not open.
 func (p *Progress) Task(t TaskID) *Task {
-	if t.Occurrence >= len(p.Occurrences) {
+	s := p.step(t)
+	if s == nil || t.Index >= len(s.Tasks) {
 		return nil
 	}
-	o := p.Occurrences[t.Occurrence]
-	if t.Step >= len(o.Steps) || t.Index >= len(o.Steps[t.Step].Tasks) {
+	return &s.Tasks[t.Index]
+}
+
+// IsDone reports whether a task is done.
+func (p *Progress) IsDone(t TaskID) bool {
+	task := p.Task(t)
+	return task != nil && task.Done || p.isCompleted(t.Occurrence)
+}
+
+// step returns the state of the step of a task, or nil if the job has no such step or
+// its occurrence is not open.
+func (p *Progress) step(t TaskID) *StepState {
+	o := p.occurrence(t.Occurrence)
+	if o == nil || t.Step >= len(o.Steps) {
 		return nil
 	}
-	return &o.Steps[t.Step].Tasks[t.Index]
+	return &o.Steps[t.Step]
 }
 
 // Saved returns the checkpoint from which a task can resume, or an empty string.
@@ -183,7 +246,7 @@
 		return ""
 	}
 	if p.Job.Steps[t.Step].Gang {
-		return p.Occurrences[t.Occurrence].Steps[t.Step].gangCheckpoint
+		return p.step(t).gangCheckpoint
 	}
 	return task.Saved
 }
@@ -196,7 +259,7 @@
 	}
 	task.Saved = saved
 	if p.Job.Steps[t.Step].Gang {
-		p.Occurrences[t.Occurrence].Steps[t.Step].gangCheckpoint = saved
+		p.step(t).gangCheckpoint = saved
 	}
 }
 
@@ -223,7 +286,7 @@
 
 // markDone marks the task as done, or all members if it belongs to a gang.
 func (p *Progress) markDone(t TaskID, gang bool) {
-	o := p.Occurrences[t.Occurrence]
+	o := p.occurrence(t.Occurrence)
 	s := &o.Steps[t.Step]
 	first, last := t.Index, t.Index
 	if gang {
@@ -244,7 +307,7 @@
 }
 
 func (p *Progress) allDone() bool {
-	if len(p.Occurrences) < p.Job.Occurrences() {
+	if p.opened < p.Job.Occurrences() {
 		return false
 	}
 	for _, o := range p.Occurrences {
@@ -256,7 +319,7 @@
 }
 
 func (p *Progress) recordFailure(t TaskID, run int64, gang bool) bool {
-	s := &p.Occurrences[t.Occurrence].Steps[t.Step]
+	s := p.step(t)
 	f := &s.Tasks[t.Index].Failures
 	if gang {
 		f = &s.gangFailures
@@ -311,8 +374,18 @@
 
 // SetBusy sets the Busy flag of the members.
 func (u Unit) SetBusy(busy bool) {
-	s := &u.Progress.Occurrences[u.Occurrence].Steps[u.Step]
+	o := u.Progress.occurrence(u.Occurrence)
+	if o == nil {
+		return
+	}
 	for _, m := range u.Members {
-		s.Tasks[m].Busy = busy
+		task := &o.Steps[u.Step].Tasks[m]
+		switch {
+		case busy && !task.Busy:
+			o.busy++
+		case !busy && task.Busy:
+			o.busy--
+		}
+		task.Busy = busy
 	}
 }
--- a/internal/lead/commit_test.go
+++ b/internal/lead/commit_test.go
@@ -96,6 +96,37 @@
 	golden.Assert(t, b.String(), "rowTooLarge.golden")
 }
 
+// TestTimedRowTooLarge guards against a timed job of which so many occurrences are due
+// that its row is larger than the store accepts, so that nothing can be stored any more.
+func TestTimedRowTooLarge(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, steps := range []int{1, 4, 100} {
+		spec := &graph.Job{ID: "timed", MaxAttempts: 3, Times: 10_000, First: time.Unix(1000, 0), Interval: time.Second}
+		for range steps {
+			spec.Steps = append(spec.Steps, graph.Step{Count: 1, Checkpoints: true})
+		}
+		p := graph.NewProgress(spec)
+		p.Open(time.Unix(1<<31, 0))
+		j := &job{progress: p, placements: make(map[*placement]bool)}
+		open := len(p.Occurrences)
+		for _, o := range p.Occurrences {
+			for step := range steps {
+				id := graph.TaskID{Job: spec.ID, Occurrence: o.Number, Step: step}
+				run := 5<<20 + random.Int64N(1<<16)
+				p.End(id, run, graph.Failed, fmt.Sprintf("%016x", random.Uint64()))
+				placed := &placement{job: j, run: run + 1, remaining: 1}
+				placed.Unit = graph.Unit{Progress: p, Occurrence: o.Number, Step: step, Members: []int{0}}
+				w := &worker{info: pool.Worker{ID: pool.WorkerID(fmt.Sprintf("i-%010x", 1<<36+random.IntN(350)*98765431))}}
+				placed.members = []*member{{task: id, placement: placed, worker: w}}
+				j.placements[placed] = true
+			}
+		}
+		value, err := j.row()
+		assert.NilError(t, err)
+		t.Logf("%d occurrences of %d steps: %d bytes", open, steps, len(value))
+	}
+}
+
 // TestLimitPlaced guards against a job with more placed tasks than fit into its
 // row, and against a gang larger than the limit that is never placed.
 func TestLimitPlaced(t *testing.T) {
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -59,8 +60,15 @@
 	return spec.Check()
 }
 
-// addJob adds a job to the term.
+// addJob adds a job to the term and opens its occurrences.
 func (t *term) addJob(spec *graph.Job, p *graph.Progress) *job {
+	j := t.registerJob(spec, p)
+	t.openDue(j, time.Now())
+	return j
+}
+
+// registerJob adds a job to the term. Its occurrences are opened later, by openDue.
+func (t *term) registerJob(spec *graph.Job, p *graph.Progress) *job {
 	j := &job{
 		progress: p, placements: make(map[*placement]bool),
 		avoid:       make(map[stepKey]map[pool.WorkerID]bool),
@@ -68,7 +76,6 @@
 		stalls:      make(map[unitKey]int),
 		lastRun:     (t.Epoch - 1) * runsPerEpoch,
 	}
-	j.nextDue = p.Open(time.Now())
 	t.jobs[spec.ID] = j
 	t.Log.Write(event.JobSeen, "job", string(spec.ID), "queue", spec.Queue, "workspace", spec.Workspace,
 		"steps", len(spec.Steps), "age", time.Since(spec.Accepted).String())
@@ -84,12 +91,24 @@
 func (t *term) openOccurrences(now time.Time) {
 	for _, j := range t.jobs {
 		if !j.nextDue.IsZero() && !now.Before(j.nextDue) {
-			j.nextDue = j.progress.Open(now)
-			t.pacer.changed = true
+			t.openDue(j, now)
 		}
 	}
 }
 
+// openDue opens the occurrences of a job that are due, and drops what is known of the
+// units of completed ones.
+func (t *term) openDue(j *job, now time.Time) {
+	j.nextDue = j.progress.Open(now)
+	t.pacer.changed = true
+	if j.progress.Job.Times == 0 {
+		return
+	}
+	maps.DeleteFunc(j.avoid, func(k stepKey, _ map[pool.WorkerID]bool) bool { return !j.progress.IsOpen(k.occurrence) })
+	maps.DeleteFunc(j.preemptions, func(k stepKey, _ int) bool { return !j.progress.IsOpen(k.occurrence) })
+	maps.DeleteFunc(j.stalls, func(k unitKey, _ int) bool { return !j.progress.IsOpen(k.occurrence) })
+}
+
 // stopJob stops all placements of a job.
 func (t *term) stopJob(j *job, reason string) {
 	for p := range j.placements {
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -112,6 +112,7 @@
 		tasks += done
 		if changed {
 			t.inherited[id] = true
+			t.openDue(j, time.Now())
 			t.markDirty(j)
 			t.finishJob(j)
 		}
@@ -183,10 +184,11 @@
 			continue
 		}
 		progress := stored[spec.ID]
-		j := t.addJob(&spec, graph.Restore(&spec, progress))
+		j := t.registerJob(&spec, graph.Restore(&spec, progress))
 		for i := range progress.Placed {
 			t.takeOverRun(j, &progress.Placed[i])
 		}
+		t.openDue(j, time.Now())
 		if j.progress.Job.Cancelled {
 			t.stopJob(j, "cancelled")
 		}
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -277,6 +277,7 @@
 	delete(t.unstarted, p)
 	delete(p.job.placements, p)
 	p.Unit.SetBusy(false)
+	t.openDue(p.job, time.Now())
 	// Members of a gang may end after the end of their job was stored.
 	if t.jobs[p.job.progress.Job.ID] == p.job {
 		t.finishJob(p.job)
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -189,7 +189,7 @@
 	if !ok {
 		return
 	}
-	j.progress.Open(time.Now())
+	t.openDue(j, time.Now())
 	j.progress.Begun = true
 	if m := t.members[end.Task]; m != nil && end.Outcome == graph.Done {
 		// The run was given up as lost, but its task was done.
@@ -199,6 +199,7 @@
 		t.markDirty(j)
 		t.Log.Write(event.TaskEnded, "task", end.Task.String(), "run", end.Run, "how", string(end.Outcome),
 			"number", end.Number, "earlier", true)
+		t.openDue(j, time.Now())
 	}
 	t.finishJob(j)
 	t.publishStatus(j)
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -100,9 +100,9 @@
 		now        time.Time
 		urgentUsed map[string]int64
 		decision   Decision
-		// noFit has the steps of which a unit did not fit in this round. Their
-		// other units are equal and are not tried again.
-		noFit map[stepKey]bool
+		// noFit has the units that did not fit in this round. Equal ones are not tried
+		// again.
+		noFit map[noFitKey]bool
 		// taskCounts counts, for steps with a limit of tasks per worker, the
 		// tasks on each worker, including those placed in this round.
 		taskCounts map[stepKey]map[pool.WorkerID]int
@@ -124,6 +124,13 @@
 		label   string
 	}
 
+	// noFitKey is what units that fit or do not fit together have in common.
+	noFitKey struct {
+		stepKey
+		// waitsForLocality reports whether they only fit near their data.
+		waitsForLocality bool
+	}
+
 	stepKey struct {
 		job        graph.ID
 		occurrence int
@@ -155,7 +162,7 @@
 	r := newRound(p, now, v)
 	p.Order(now, v.Waiting)
 	for _, u := range v.Waiting {
-		key := stepKeyOf(u)
+		key := r.noFitKeyOf(u)
 		if r.noFit[key] {
 			r.decision.Waits["room"]++
 			continue
@@ -170,7 +177,7 @@
 
 func newRound(p *Policy, now time.Time, v *View) *round {
 	return &round{
-		Policy: p, View: v, now: now, urgentUsed: v.countUrgentAccelerators(), noFit: make(map[stepKey]bool),
+		Policy: p, View: v, now: now, urgentUsed: v.countUrgentAccelerators(), noFit: make(map[noFitKey]bool),
 		taskCounts: make(map[stepKey]map[pool.WorkerID]int), decision: Decision{Waits: make(map[string]int)},
 		spare: p.SpareAccelerators(now, v), onlyStalled: make(map[workerKind]bool),
 	}
@@ -274,6 +281,16 @@
 	return stepKey{u.Progress.Job.ID, u.Occurrence, u.Step}
 }
 
+// noFitKeyOf returns the key of u. The occurrences of a step are equal, unless tasks of
+// the same occurrence count on a worker.
+func (r *round) noFitKeyOf(u graph.Unit) noFitKey {
+	key := noFitKey{stepKeyOf(u), r.WaitsForLocality(r.now, u)}
+	if u.Spec().MaxPerWorker == 0 {
+		key.occurrence = 0
+	}
+	return key
+}
+
 // taskCountsOf returns the number of tasks of u's step on each worker, which
 // start updates.
 func (r *round) taskCountsOf(u graph.Unit) map[pool.WorkerID]int {
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -121,8 +121,7 @@
 	if err := ledger.Decode(store.Row{Value: value}, &snapshot); err != nil {
 		return false
 	}
-	task := graph.Restore(h.jobs[id.Job], snapshot).Task(id)
-	return task != nil && task.Done
+	return graph.Restore(h.jobs[id.Job], snapshot).IsDone(id)
 }
 
 // listsRun reports whether a progress row lists the run as placed.
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -356,15 +356,22 @@
 // submit submits a job as a client does: if it gets no answer, it tries the next
 // instance.
 func (h *harness) submit(firstInstance int, queue, key string, id graph.ID, steps ...graph.Step) {
+	h.submitJob(firstInstance, queue, key, &graph.Job{ID: id, Steps: steps})
+}
+
+// submitJob is like submit for a job that may have times.
+func (h *harness) submitJob(firstInstance int, queue, key string, j *graph.Job) {
+	id := j.ID
+	j.MaxAttempts = 3
 	h.mu.Lock()
-	h.jobs[id] = &graph.Job{ID: id, Steps: steps, MaxAttempts: 3}
+	h.jobs[id] = j
 	h.mu.Unlock()
 	outcome := accept.Unknown
 	for try := 0; try < 8 && outcome == accept.Unknown; try++ {
 		inst := h.instances[(firstInstance+try)%len(h.instances)]
 		ctx, cancel := context.WithTimeout(h.ctx, 2500*time.Millisecond)
 		outcome = inst.current().storeService.Submit(ctx, accept.Call{Host: "h", Path: "/" + queue + "/" + string(id), Key: key},
-			&graph.Job{Steps: steps}).Outcome
+			&graph.Job{Steps: j.Steps, Times: j.Times, First: j.First, Interval: j.Interval}).Outcome
 		cancel()
 	}
 	h.mu.Lock()
--- /dev/null
+++ b/internal/trial/overdue_test.go
@@ -0,0 +1,62 @@
+package trial
+
+import (
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobabquay/baobabquay/internal/graph"
+	"gotest.tools/v3/assert"
+)
+
+// TestOverdueJob guards against a job with a million overdue occurrences that ends each
+// leader in turn, since it takes all of its memory, or that keeps other jobs from
+// running. The leader is lost meanwhile, and the job is cancelled at the end.
+func TestOverdueJob(t *testing.T) {
+	const (
+		overdue, small, large graph.ID = "1111111111111111", "2222222222222222", "3333333333333333"
+		times                          = 1_000_000
+		// maxHeap is the memory of the smallest instance of the platform. The three
+		// instances and the stand-ins share it here.
+		maxHeap = 184 << 20
+	)
+	runHarness(t, func(h *harness) {
+		h.durations = map[graph.ID]time.Duration{overdue: 5 * time.Second}
+		time.Sleep(2 * time.Second)
+		h.submitJob(0, "normal", "ks", &graph.Job{
+			ID: overdue, Steps: []graph.Step{{Count: 1, Demand: gpu(1), Estimate: time.Second}},
+			Times: times, First: time.Now().Add(-times * time.Minute), Interval: time.Minute,
+		})
+		time.Sleep(2 * time.Second)
+		h.submit(1, "normal", "kn", small, graph.Step{Count: 8, Demand: gpu(1), Estimate: 2 * time.Second})
+		h.submit(1, "urgent", "kn", large, graph.Step{Count: 1, Demand: gpu(8), Gang: true, Estimate: time.Second})
+		time.Sleep(10 * time.Second)
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		assert.Assert(t, m.HeapAlloc < maxHeap, "%d MB in use", m.HeapAlloc>>20)
+		assert.Equal(t, h.phase("normal", "kn", small), "completed")
+		assert.Equal(t, h.phase("urgent", "kn", large), "completed")
+		l := h.leader()
+		l.kill()
+		l.start()
+		time.Sleep(20 * time.Second)
+		h.cancel(0, "normal", "ks", overdue)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, h.phase("normal", "ks", overdue), "cancelled")
+		runs := 0
+		for _, r := range h.workers.Runs() {
+			if r.Task.Job == overdue && r.Outcome == graph.Done {
+				runs++
+			}
+		}
+		// The four workers run 32 of its tasks, of 5 s each, at a time.
+		assert.Assert(t, runs > 32*3, "%d runs of the overdue job in 34 s", runs)
+		assert.DeepEqual(t, h.check(), []string(nil))
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, line := range h.logLines {
+			assert.Assert(t, !strings.Contains(line, `"commitFailed"`), line)
+		}
+	})
+}
