Keep a job that a cancel did not find from being accepted later

Cause: the store may carry out an unanswered transaction seconds later if its conditions hold. Those of a submission are that the job has no row and no end; ledger.Cancel found neither, answered, and stored nothing, so they still held. Ruled out: a stale read (the rows come from a transaction) and the leader (it runs what is stored).

Change: the cancel of an unknown job writes the row of its end, marked neverAccepted, under the conditions of the submission, and answers after that. One of the two transactions fails, whichever is carried out first. The state of such a job stays 410. A submission that meets the mark is refused with 503 and without Retry-After, as it has not run and never will, even while copies of it are under way. Identifiers that no job can have are answered without a write.

The check of package trial for runs after a cancel covers cancels that found no job, which it passed over before.

--- a/internal/accept/service.go
+++ b/internal/accept/service.go
@@ -253,7 +253,10 @@
 	case ledger.Stored:
 		sub.answer = Answer{Outcome: Accepted}
 	case ledger.NotStored:
-		sub.answer = Answer{Outcome: Refused, Reason: err.Error(), RetryAfter: defaultRetryAfter}
+		sub.answer = Answer{Outcome: Refused, Reason: err.Error()}
+		if !errors.Is(err, ledger.ErrCancelled) {
+			sub.answer.RetryAfter = defaultRetryAfter
+		}
 	default:
 		sub.answer = Answer{Outcome: Unknown, Reason: err.Error()}
 	}
@@ -267,7 +270,10 @@
 		return answer
 	}
 	id := ID(q, c.Path)
-	outcome, err := s.Ledger.Cancel(ctx, id)
+	outcome, err := ledger.NotFound, error(nil)
+	if validID(id) {
+		outcome, err = s.Ledger.Cancel(ctx, id)
+	}
 	switch outcome {
 	case ledger.Stored, ledger.AlreadyEnded:
 		answer = Answer{Outcome: Accepted}
--- a/internal/accept/service_test.go
+++ b/internal/accept/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/fakes"
@@ -44,3 +45,26 @@
 	}
 	golden.Assert(t, strings.Join(lines, "\n")+"\n", "answered.golden")
 }
+
+// TestSubmitAfterCancel guards against a caller that is told to submit a job again which
+// was cancelled before and never runs, and against a row for each malformed identifier
+// that callers cancel.
+func TestSubmitAfterCancel(t *testing.T) {
+	activeConfig := queues.NewActiveConfig(event.Discard())
+	config := &queues.Config{Version: 1, Queues: []queues.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true}}}
+	activeConfig.Install(config.BuildIndex())
+	table := fakes.NewTable()
+	service := New(Deps{Queues: activeConfig, Ledger: ledger.New(table.Store()), Log: event.Discard(), Leader: Leader{
+		Phase: func(context.Context, graph.ID) (graph.Phase, bool) { return "", false },
+	}})
+	for _, name := range []string{"", "1", "111111111111111g", "11111111111111111", "../../../../../.."} {
+		assert.Equal(t, service.Cancel(t.Context(), Call{Host: "h", Path: "/q/" + name}).Outcome, NoJob)
+	}
+	assert.Equal(t, len(table.Log()), 0)
+	call := Call{Host: "h", Path: "/q/1111111111111111"}
+	assert.Equal(t, service.Cancel(t.Context(), call).Outcome, NoJob)
+	answer := service.Submit(t.Context(), call, &graph.Job{Steps: []graph.Step{{Count: 1}}})
+	assert.Equal(t, answer.Outcome, Refused)
+	assert.Equal(t, answer.RetryAfter, time.Duration(0))
+	assert.Equal(t, service.State(t.Context(), call).Outcome, NoJob)
+}
--- a/internal/ledger/accept.go
+++ b/internal/ledger/accept.go
@@ -32,12 +32,16 @@
 	NotStored
 	// Uncertain means that the change may have taken effect, or may still do so.
 	Uncertain
-	// NotFound means that there is no such job.
+	// NotFound means that there is no such job and that none with its identifier
+	// will be accepted.
 	NotFound
 	// AlreadyEnded means that the job had already ended.
 	AlreadyEnded
 )
 
+// ErrCancelled means that the job was cancelled before its submission was stored.
+var ErrCancelled = errors.New("job was cancelled before its submission was stored")
+
 // retryPause is the pause between two attempts of a call. The store usually
 // answers in 4 ms, and a caller waits a few seconds at most.
 const retryPause = 120 * time.Millisecond
@@ -48,7 +52,8 @@
 // Accept stores a new job. It repeats the attempt until ctx ends as long as the
 // outcome is uncertain; if the store has certainly not stored the job, it returns
 // NotStored and the error. A job whose identifier is known already counts as
-// stored.
+// stored. One that was cancelled before is never stored; the error then wraps
+// ErrCancelled.
 func (l *Ledger) Accept(ctx context.Context, j *graph.Job) (Outcome, error) {
 	value, err := Encode(j)
 	if err != nil {
@@ -58,17 +63,17 @@
 		Checks: []store.Check{{Key: JobKey(j.ID)}, {Key: EndedKey(j.ID)}},
 		Puts:   []store.Put{{Key: JobKey(j.ID), Value: value}},
 	}
-	outcome, err := l.commitOnce(ctx, txn)
+	outcome, err := l.commitOnce(ctx, txn, j.ID)
 	if err != nil {
 		err = fmt.Errorf("accept job %s: %w", j.ID, err)
 	}
 	return outcome, err
 }
 
-// commitOnce commits a transaction that has no effect if it is repeated. While it
-// has no answer, it sends a copy every callTimeout: the connection may hang without
+// commitOnce commits the submission of a job, which has no effect if it is repeated.
+// While it has no answer, it sends a copy every callTimeout: the connection may hang without
 // an error, but a slow store may also take as long, and its answer counts.
-func (l *Ledger) commitOnce(ctx context.Context, txn store.Txn) (Outcome, error) {
+func (l *Ledger) commitOnce(ctx context.Context, txn store.Txn, id graph.ID) (Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
@@ -96,9 +101,10 @@
 		case err := <-results:
 			inFlight--
 			switch {
-			case err == nil, store.IsConflict(err):
-				// A conflict means that the row of the job or of its end exists.
+			case err == nil:
 				return Stored, nil
+			case store.IsConflict(err):
+				return conflictOutcome(err, id)
 			case errors.Is(err, store.ErrUncertain):
 				uncertain = true
 			case !uncertain && inFlight == 0:
@@ -111,7 +117,31 @@
 	}
 }
 
-// Cancel marks a job as cancelled. It retries until ctx ends.
+// conflictOutcome returns the outcome of a submission that conflicts, since the row of
+// the job or of its end exists.
+func conflictOutcome(err error, id graph.ID) (Outcome, error) {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return Stored, nil
+	}
+	row := conflict.Row(EndedKey(id))
+	if row.Version == 0 {
+		return Stored, nil
+	}
+	ended, err := decodeEnded(row)
+	switch {
+	case err != nil:
+		return Uncertain, err
+	case ended.NeverAccepted:
+		// No copy that is still under way can take effect either.
+		return NotStored, ErrCancelled
+	}
+	return Stored, nil
+}
+
+// Cancel marks a job as cancelled. It retries until ctx ends. If there is no such job,
+// it also makes sure that no submission of it takes effect later: the store may carry
+// out one that has had no answer.
 func (l *Ledger) Cancel(ctx context.Context, id graph.ID) (Outcome, error) {
 	for {
 		outcome, err := l.cancel(ctx, id)
@@ -143,8 +173,28 @@
 	case rows.job.Version > 0:
 		return l.markCancelled(ctx, rows.job)
 	case rows.ended.Version > 0:
+		ended, err := decodeEnded(rows.ended)
+		if err == nil && ended.NeverAccepted {
+			return NotFound, nil
+		}
 		return AlreadyEnded, nil
 	}
+	return l.markNeverAccepted(ctx, id)
+}
+
+// markNeverAccepted writes the row of the end of a job that does not exist.
+func (l *Ledger) markNeverAccepted(ctx context.Context, id graph.ID) (Outcome, error) {
+	value, err := Encode(Ended{Phase: graph.Cancelled, At: time.Now(), NeverAccepted: true})
+	if err != nil {
+		return Uncertain, err
+	}
+	_, err = l.table.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: JobKey(id)}, {Key: EndedKey(id)}},
+		Puts:   []store.Put{{Key: EndedKey(id), Value: value}},
+	})
+	if err != nil {
+		return Uncertain, fmt.Errorf("write end of job: %w", err)
+	}
 	return NotFound, nil
 }
 
@@ -215,11 +265,17 @@
 }
 
 func endedPhase(row store.Row) (graph.Phase, bool, error) {
-	var e Ended
-	if err := Decode(row, &e); err != nil {
+	ended, err := decodeEnded(row)
+	if err != nil || ended.NeverAccepted {
 		return "", false, err
 	}
-	return e.Phase, true, nil
+	return ended.Phase, true, nil
+}
+
+func decodeEnded(row store.Row) (Ended, error) {
+	var e Ended
+	err := Decode(row, &e)
+	return e, err
 }
 
 func activePhase(row store.Row) (graph.Phase, bool, error) {
--- a/internal/ledger/doc.go
+++ b/internal/ledger/doc.go
@@ -15,7 +15,8 @@
 //	jobs/ID             the job as accepted; written by the accepting instance
 //	progress/ID         the placed runs, done tasks, failures and checkpoints;
 //	                    written by the leader before it starts the runs
-//	ended/ID            the final phase, which replaces the two rows above
+//	ended/ID            the final phase, which replaces the two rows above; or a mark
+//	                    that the job was cancelled before it was accepted
 //	workers/ID          a worker that may run tasks; written by the leader
 //	term/lease          the leader, its address and epoch; renewed by the leader
 //	lead/lease          the same in earlier versions; written at each acquisition
--- a/internal/ledger/row.go
+++ b/internal/ledger/row.go
@@ -20,6 +20,10 @@
 		Reason string      `json:"reason,omitempty"`
 		Queue  string      `json:"queue"`
 		At     time.Time   `json:"at"`
+		// NeverAccepted reports whether the job was cancelled before a submission of
+		// it was stored. There is no such job, and the row keeps a submission that
+		// the store carries out late from taking effect.
+		NeverAccepted bool `json:"neverAccepted,omitempty"`
 	}
 
 	// Worker is the value of the row of a worker that may run tasks. From the row
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -47,7 +47,8 @@
 
 // checkTask guards against concurrent runs of a task, a start after an
 // acknowledged end, more attempts than allowed, run numbers that do not increase
-// from worker to worker, and runs of jobs that were refused or cancelled.
+// from worker to worker, and runs of jobs that were refused, cancelled or unknown to a
+// cancel.
 func (h *harness) checkTask(task graph.TaskID, runs []fakes.TaskRun) {
 	j := h.jobs[task.Job]
 	failures := 0
@@ -58,6 +59,9 @@
 		if at, ok := h.cancelledAt[task.Job]; ok && r.Begun.After(at.Add(maxCancelDelay)) {
 			h.breach("UNASKED %s run %d begins %v after the cancel", task, r.Run, r.Begun.Sub(at))
 		}
+		if at, ok := h.unknownAt[task.Job]; ok && r.Begun.After(at.Add(maxCancelDelay)) {
+			h.breach("UNASKED %s run %d begins %v after a cancel found no job", task, r.Run, r.Begun.Sub(at))
+		}
 		if failures >= j.MaxAttempts {
 			h.breach("BUDGET %s run %d after %d failures", task, r.Run, failures)
 		}
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -49,9 +49,12 @@
 		durations      map[graph.ID]time.Duration
 		submitOutcomes map[graph.ID]accept.Outcome
 		cancelledAt    map[graph.ID]time.Time
-		finalPhases    map[graph.ID]finalPhase
-		breaches       []string
-		logLines       []string
+		// unknownAt has the times at which cancellations were answered that there is
+		// no such job.
+		unknownAt   map[graph.ID]time.Time
+		finalPhases map[graph.ID]finalPhase
+		breaches    []string
+		logLines    []string
 	}
 
 	// instance is an instance of the scheduler. It may be started several times.
@@ -95,6 +98,7 @@
 	h := &harness{
 		t: t, detours: detours, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
 		submitOutcomes: make(map[graph.ID]accept.Outcome), cancelledAt: make(map[graph.ID]time.Time),
+		unknownAt:   make(map[graph.ID]time.Time),
 		finalPhases: make(map[graph.ID]finalPhase),
 	}
 	names := []pool.WorkerID{"w1", "w2", "w3", "w4"}
@@ -387,12 +391,13 @@
 		ctx, cancel := context.WithTimeout(h.ctx, 2500*time.Millisecond)
 		a := inst.current().storeService.Cancel(ctx, accept.Call{Host: "h", Path: "/" + queue + "/" + string(id), Key: key})
 		cancel()
-		if a.Outcome == accept.NoJob {
-			return
-		}
-		if a.Outcome == accept.Accepted {
+		if a.Outcome == accept.Accepted || a.Outcome == accept.NoJob {
 			h.mu.Lock()
-			h.cancelledAt[id] = time.Now()
+			if a.Outcome == accept.Accepted {
+				h.cancelledAt[id] = time.Now()
+			} else {
+				h.unknownAt[id] = time.Now()
+			}
 			h.mu.Unlock()
 			return
 		}
