--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -97,7 +97,7 @@
 		return http.StatusTooManyRequests
 	case intake.ReasonNotFound:
 		return http.StatusNotFound
-	case intake.ReasonReused, intake.ReasonEnded:
+	case intake.ReasonReused, intake.ReasonCancelled, intake.ReasonEnded:
 		return http.StatusConflict
 	}
 	return http.StatusServiceUnavailable
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/config"
@@ -66,6 +67,8 @@
 	// job.
 	minPollInterval = 100 * time.Millisecond
 	maxPollInterval = time.Second
+	// requestPrefix begins the identifiers of jobs that come from those of requests.
+	requestPrefix = "req-"
 	// maxCancelAttempts bounds the attempts of Cancel, which can conflict with
 	// writes of the shard owner. The owner writes a job only a few times.
 	maxCancelAttempts = 8
@@ -76,6 +79,9 @@
 	writeTimeout = 20 * time.Second
 )
 
+// errStaleRead means that reads of a job return rows that are older than its present one.
+var errStaleRead = errors.New("reads of the job are out of date")
+
 // New returns an Intake with the given dependencies.
 func New(d Deps) *Intake {
 	in := &Intake{deps: d}
@@ -150,20 +156,33 @@
 		if err != nil {
 			return nil, fmt.Errorf("list jobs of %s: %w", w, err)
 		}
-		all = append(all, j)
+		if !j.IsNeverAccepted() {
+			all = append(all, j)
+		}
 	}
 	slices.SortStableFunc(all, func(a, b jobs.Job) int { return a.Submitted.Compare(b.Submitted) })
 	return all, nil
 }
 
 // Cancel requests the cancellation of a job and returns the job. A job that has
-// ended is returned with a refusal.
+// ended is returned with a refusal. If there is no such job, no submission with its
+// request identifier is accepted later.
 func (in *Intake) Cancel(ctx context.Context, w ident.Workspace, id ident.Job) (jobs.Job, error) {
 	ctx, stop := context.WithTimeout(ctx, writeTimeout)
 	defer stop()
 	var err error
 	for range maxCancelAttempts {
 		j, version, loadErr := in.load(ctx, w, id)
+		if errors.Is(loadErr, ErrNotFound) && version == 0 && hasRequest(id) {
+			markErr := in.markNeverAccepted(ctx, w, id)
+			if store.IsConflict(markErr) {
+				// The job has been stored since, or the read was stale.
+				continue
+			}
+			if markErr != nil {
+				return jobs.Job{}, keepUncertainty(storeRefusal("cancel", markErr), err)
+			}
+		}
 		if loadErr != nil {
 			return jobs.Job{}, keepUncertainty(loadErr, err)
 		}
@@ -183,9 +202,28 @@
 			break
 		}
 	}
+	if err == nil {
+		err = errStaleRead
+	}
 	return jobs.Job{}, storeRefusal("cancel", err)
 }
 
+// markNeverAccepted stores that a job that does not exist is cancelled.
+func (in *Intake) markNeverAccepted(ctx context.Context, w ident.Workspace, id ident.Job) error {
+	value, err := record.EncodeJob(jobs.NeverAccepted(w, id, time.Now()))
+	if err != nil {
+		return fmt.Errorf("cancel job %s: %w", id, err)
+	}
+	key := record.JobKey(w, id)
+	_, err = store.CommitResolved(ctx, in.deps.Table, store.Txn{
+		Checks: []store.Check{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return fmt.Errorf("cancel job %s: %w", id, err)
+	}
+	return nil
+}
+
 // keepUncertainty returns err, or a refusal with the outcome Unknown if the
 // answer to an earlier write was lost, because that write may have taken effect.
 func keepUncertainty(err, earlier error) error {
@@ -219,11 +257,13 @@
 	if s.input.Request == "" {
 		return nil
 	}
-	j, _, err := in.load(ctx, s.input.Workspace, jobID(s.input.Request))
-	if errors.Is(err, ErrNotFound) {
+	j, version, err := in.load(ctx, s.input.Workspace, jobID(s.input.Request))
+	switch {
+	case errors.Is(err, ErrNotFound) && version > 0:
+		return s.refuseCancelled()
+	case errors.Is(err, ErrNotFound):
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	return s.useJob(j)
@@ -297,7 +337,10 @@
 // useStoredJob uses the job in the row of this submission. It was written by
 // this submission or by an earlier one with the same request identifier.
 func (in *Intake) useStoredJob(ctx context.Context, s *submission, cause error) error {
-	j, _, err := in.load(ctx, s.job.Workspace, s.job.ID)
+	j, version, err := in.load(ctx, s.job.Workspace, s.job.ID)
+	if errors.Is(err, ErrNotFound) && version > 0 {
+		return s.refuseCancelled()
+	}
 	if err != nil {
 		return storeRefusal("submit", fmt.Errorf("%w: %w", store.ErrUncertain, cause))
 	}
@@ -313,6 +356,12 @@
 	return nil
 }
 
+// refuseCancelled refuses a submission whose job was cancelled before it was stored.
+// Copies of it that are under way cannot take effect any more.
+func (s *submission) refuseCancelled() error {
+	return refuse(ReasonCancelled, nil, "job %s was cancelled before it was accepted", jobID(s.input.Request))
+}
+
 // notify informs the owner of the job's shard unless the job has ended.
 func (in *Intake) notify(_ context.Context, s *submission) error {
 	if !s.job.State.Ended() {
@@ -343,7 +392,8 @@
 	return nil
 }
 
-// load returns a job and the version of its row.
+// load returns a job and the version of its row. A job that was cancelled before it was
+// accepted is not found, with the version of that record.
 func (in *Intake) load(ctx context.Context, w ident.Workspace, id ident.Job) (jobs.Job, int64, error) {
 	row, err := in.deps.Table.Get(ctx, record.JobKey(w, id))
 	if errors.Is(err, store.ErrNotFound) {
@@ -357,6 +407,9 @@
 		// The job exists, so the caller must not take it for refused.
 		return jobs.Job{}, 0, &Refusal{Outcome: Unknown, Reason: ReasonUnread, Detail: fmt.Sprintf("job %s", id), Err: err}
 	}
+	if j.IsNeverAccepted() {
+		return jobs.Job{}, row.Version, refuse(ReasonNotFound, ErrNotFound, "job %s", id)
+	}
 	return j, row.Version, nil
 }
 
@@ -367,7 +420,14 @@
 	if r == "" {
 		return ident.Job("job-" + uuid.NewString())
 	}
-	return ident.Job("req-" + string(r))
+	return ident.Job(requestPrefix + string(r))
+}
+
+// hasRequest reports whether the job's identifier comes from a request identifier that a
+// submission may have.
+func hasRequest(id ident.Job) bool {
+	request, ok := strings.CutPrefix(string(id), requestPrefix)
+	return ok && ident.Check(request) == nil
 }
 
 // asRefusal returns the refusal that err wraps. An error that wraps none comes
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -43,6 +43,7 @@
 	ReasonLost      Reason = "storeAnswerLost"
 	ReasonUnread    Reason = "jobUnread"
 	ReasonReused    Reason = "requestIdReused"
+	ReasonCancelled Reason = "cancelledBefore"
 	ReasonNotFound  Reason = "notFound"
 	ReasonEnded     Reason = "alreadyEnded"
 )
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -115,6 +115,16 @@
 		bytes.Equal(s.Payload, o.Payload)
 }
 
+// NeverAccepted returns the record of a job that was cancelled before a submission of
+// it was stored. No such job exists, and the record keeps a submission that the store
+// carries out late from taking effect.
+func NeverAccepted(w ident.Workspace, id ident.Job, now time.Time) Job {
+	return Job{ID: id, Workspace: w, State: Cancelled, Ended: now, CancelRequested: true, Reason: "cancelled before it was accepted"}
+}
+
+// IsNeverAccepted reports whether j is a record of NeverAccepted.
+func (j *Job) IsNeverAccepted() bool { return j.State == Cancelled && j.Submitted.IsZero() }
+
 // String returns the name used in messages and rows.
 func (s State) String() string { return nameOf(stateNames[:], int(s)) }
 
