Quarantine a worker at once if a task that is sound stalls there

Cause: a worker that stands still got further tasks until one of a second job had stalled there; and each stall of a unit doubled the time in which the next worker that stands still is found.

Change: one stall is enough for a quarantine if the run, or another task of its step, has advanced before, since the task can't be the cause then. Otherwise the worker is quarantined for 2 s, which does not grow and ends before a job counts as lost. The limit doubles from the fourth stall of a unit on. The quarter of the workers of a service stays the bound.

TestSoundTaskStalls fails without the change; TestSlowTasksStopped allows for the stops that don't double.

--- a/internal/lead/stall.go
+++ b/internal/lead/stall.go
@@ -23,10 +23,17 @@
 	// three times as long away from its data, estimates are rough, and workers may
 	// turn slow.
 	stallFactor = 8
+	// constantStalls is the number of stalls of a unit that leave its limit as it is.
+	// Several workers may stand still, one after another.
+	constantStalls = 3
 	// maxStallDoublings bounds how often the limit of a unit doubles.
 	maxStallDoublings = 10
+	// suspicionQuarantine is the quarantine of a worker while its task may be the cause.
+	// It ends before the users count the job as lost, 3 s after its last run.
+	suspicionQuarantine = 2 * time.Second
 	// jobsToQuarantine is the number of jobs of which a task has to stall on a
-	// worker, without progress of any task there between them, for a quarantine.
+	// worker, without progress of any task there between them, for a quarantine that
+	// grows each time. One is enough if the task is known to advance elsewhere.
 	jobsToQuarantine = 2
 	// minWorkersPerQuarantine is the number of workers of a service for each that
 	// is quarantined for stalled tasks. If tasks stall on more of them, it is the
@@ -34,6 +41,14 @@
 	minWorkersPerQuarantine = 4
 )
 
+// stallCause is what a stall tells about a worker.
+type stallCause struct {
+	// onlySuspect reports whether no other worker can be the cause.
+	onlySuspect bool
+	// soundTask reports whether the task can't be the cause.
+	soundTask bool
+}
+
 // stopStalled stops placements with a task that makes no progress, so that they
 // are placed again, on other workers if there are any.
 func (t *term) stopStalled(now time.Time) {
@@ -50,46 +65,74 @@
 	}
 }
 
-// countStalls doubles the stall limit of the unit of p, of which m has stalled, so
-// that a task that is slow everywhere is not stopped for ever. The step avoids the
-// workers that may be the cause.
+// countStalls counts that the unit of p has stalled, of which m has made the least
+// progress. The step avoids the workers that may be the cause.
 func (t *term) countStalls(p *placement, m *member, now time.Time) {
-	p.job.stalls[p.key()]++
+	suspects := make(map[*worker]bool)
 	for _, other := range p.members {
-		if other.ended || other.percent > m.percent || other.worker.advancedAt.After(other.idleSince()) {
-			continue
+		if !other.ended && other.percent <= m.percent && !other.worker.advancedAt.After(other.idleSince()) {
+			suspects[other.worker] = true
 		}
-		t.avoidForStep(p, other.worker)
+	}
+	cause := stallCause{onlySuspect: len(suspects) == 1}
+	cause.soundTask = cause.onlySuspect && m.advancesElsewhere()
+	p.job.stalls[p.key()]++
+	for w := range suspects {
+		t.avoidForStep(p, w)
 		if !p.Unit.Spec().Backfill {
 			// A backfill task makes no progress while others use the processors.
-			t.countStall(other.worker, p, now)
+			t.countStall(w, p.job, cause, now)
+		}
+	}
+}
+
+// advancesElsewhere reports whether it is not in the nature of a task that has stalled:
+// its run has advanced before, or another task of its step has done so meanwhile.
+func (m *member) advancesElsewhere() bool {
+	if m.percent > m.firstPercent {
+		return true
+	}
+	p, since := m.placement, m.idleSince()
+	for sibling := range p.job.placements {
+		if sibling == p || stepKeyOf(sibling.Unit) != stepKeyOf(p.Unit) {
+			continue
+		}
+		for _, other := range sibling.members {
+			if other.percent > other.firstPercent && other.progressedAt.After(since) {
+				return true
+			}
 		}
 	}
+	return false
 }
 
-// countStall counts that a task of p has stalled on a worker, and quarantines the
-// worker after the tasks of jobsToQuarantine jobs unless tasks stall on too many
-// workers.
-func (t *term) countStall(w *worker, p *placement, now time.Time) {
+// countStall counts that a task of a job has stalled on a worker. It quarantines the
+// worker if the task is sound, or after the tasks of jobsToQuarantine jobs, and for a
+// short time if it is the only suspect, unless tasks stall on too many workers.
+func (t *term) countStall(w *worker, j *job, cause stallCause, now time.Time) {
 	if w.stalledJobs == nil {
 		w.stalledJobs = make(map[graph.ID]bool)
 	}
-	w.stalledJobs[p.job.progress.Job.ID] = true
-	if len(w.stalledJobs) >= jobsToQuarantine && t.maySpare(w.info.Service, now) {
+	w.stalledJobs[j.progress.Job.ID] = true
+	switch {
+	case !t.maySpare(w, now):
+	case cause.soundTask || len(w.stalledJobs) >= jobsToQuarantine:
 		t.quarantine(w, now, quarantinedForStalls)
+	case cause.onlySuspect:
+		t.suspect(w, now)
 	}
 }
 
-// maySpare reports whether one more worker of a service may be quarantined for
-// stalled tasks.
-func (t *term) maySpare(service string, now time.Time) bool {
+// maySpare reports whether w may be quarantined for stalled tasks beside the other
+// workers of its service that are.
+func (t *term) maySpare(w *worker, now time.Time) bool {
 	workers, quarantined := 0, 1
-	t.pool.Each(func(w *pool.Worker) {
-		if w.Service != service {
+	t.pool.Each(func(other *pool.Worker) {
+		if other.Service != w.info.Service {
 			return
 		}
 		workers++
-		if w.Stalled && now.Before(w.QuarantinedUntil) {
+		if other.ID != w.info.ID && other.Stalled && now.Before(other.QuarantinedUntil) {
 			quarantined++
 		}
 	})
@@ -115,7 +158,8 @@
 }
 
 // stallLimit returns the time without progress after which the run of m counts as
-// stalled.
+// stalled. After constantStalls stops of its unit as stalled it doubles each time, so that
+// a task that is slow everywhere is not stopped for ever.
 func (m *member) stallLimit() time.Duration {
 	p := m.placement
 	percent := p.Unit.Spec().Estimate / fullPercent
@@ -123,7 +167,7 @@
 		percent = max(percent, m.progressedAt.Sub(m.firstListedAt)/time.Duration(gained))
 	}
 	limit := max(min(percent, maxStallLimit/stallFactor)*stallFactor, minStallLimit)
-	return limit << min(p.job.stalls[p.key()], maxStallDoublings)
+	return limit << min(max(p.job.stalls[p.key()]-constantStalls, 0), maxStallDoublings)
 }
 
 // recordPercent records the progress of m in a report that was received at now, and
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -58,6 +58,8 @@
 		// any of its tasks has made progress, at advancedAt.
 		stalledJobs map[graph.ID]bool
 		advancedAt  time.Time
+		// suspected reports whether the last quarantine was by suspect.
+		suspected bool
 		// lastReport is logged with runs that are given up as lost.
 		lastReport reportSummary
 		// lastEndNumber is the highest number of an end that was listed by the
@@ -308,18 +310,34 @@
 	t.quarantine(w, now, quarantinedForFailures)
 }
 
-// quarantine excludes a worker from new tasks for a while.
+// quarantine excludes a worker from new tasks for a while, which grows each time.
 func (t *term) quarantine(w *worker, now time.Time, reason string) {
 	p := t.pool.Worker(w.info.ID)
-	if p == nil || now.Before(p.QuarantinedUntil) {
+	if p == nil || now.Before(p.QuarantinedUntil) && !w.suspected {
 		return
 	}
 	duration := min(minQuarantine<<min(w.quarantines, 4), maxQuarantine)
 	w.quarantines++
 	// After the quarantine, a single failure starts the next one.
 	w.failures = quarantineAfter - 1
-	p.QuarantinedUntil, p.Stalled = now.Add(duration), reason == quarantinedForStalls
-	t.Log.Write(event.WorkerBarred, "worker", string(w.info.ID), "reason", reason, "for", duration.String())
+	w.suspected = false
+	t.exclude(w, p, now.Add(duration), reason)
+}
+
+// suspect excludes a worker, which may be sound, from new tasks for a short time.
+func (t *term) suspect(w *worker, now time.Time) {
+	p := t.pool.Worker(w.info.ID)
+	if p == nil || now.Before(p.QuarantinedUntil) {
+		return
+	}
+	w.suspected = true
+	t.exclude(w, p, now.Add(suspicionQuarantine), quarantinedForStalls)
+}
+
+// exclude excludes a worker from new tasks until the given time.
+func (t *term) exclude(w *worker, p *pool.Worker, until time.Time, reason string) {
+	p.QuarantinedUntil, p.Stalled = until, reason == quarantinedForStalls
+	t.Log.Write(event.WorkerBarred, "worker", string(w.info.ID), "reason", reason, "for", time.Until(until).String())
 }
 
 // resetFailures resets the counts after a successful run.
