Keep tasks that wait from taking the leader's memory

Each next leader reads the same jobs and ends, too.

Cause: graph.Progress held 48 bytes for each task of a job whether it had started or not, and each decision listed and ordered all units that were ready, of which a job can place 2,000 at most.

Change: a step holds the sets of its done and of its busy tasks, and maps of failures and checkpoints for the tasks that have any. Ready returns about as many tasks as asked for, 500 of a job in a decision, shared out evenly among its steps, so that a wide step whose tasks can't be placed does not hide the others (TestReadyShared). If a decision starts that many, the next one follows at once. Rows have the same form as before.

--- a/internal/graph/doc.go
+++ b/internal/graph/doc.go
@@ -14,7 +14,7 @@
 //
 //	p := graph.NewProgress(job)
 //	p.Open(now)
-//	for _, u := range p.Ready() {
+//	for _, u := range p.Ready(100) {
 //		u.SetBusy(true)
 //	}
 //	p.End(graph.TaskID{Job: job.ID, Step: 0, Index: 3}, run, graph.Done, saved)
--- a/internal/graph/occurrence_test.go
+++ b/internal/graph/occurrence_test.go
@@ -56,7 +56,7 @@
 		value := store(t, p)
 		assert.Assert(t, len(value) < maxRow, "row of %d bytes before compression", len(value))
 		assert.Assert(t, heapInUse() < before+maxHeap, "%d bytes in use", heapInUse()-before)
-		assert.Assert(t, len(p.Ready()) <= maxOpenTasks)
+		assert.Assert(t, len(p.Ready(allTasks)) <= maxOpenTasks)
 	}
 	p := NewProgress(j)
 	assert.Assert(t, p.Open(longAfter).IsZero())
@@ -66,7 +66,7 @@
 	for range 20_000 {
 		o := p.Occurrences[1]
 		for step := range j.Steps {
-			for i := range o.Steps[step].Tasks {
+			for i := range o.Steps[step].count {
 				assert.Assert(t, p.End(TaskID{testID, o.Number, step, i}, 1, Done, ""))
 			}
 		}
@@ -105,7 +105,7 @@
 		take := uint64(rapid.Uint32().Draw(r, "seed"))
 		for rounds := 0; p.Phase() != Completed; rounds++ {
 			assert.Assert(r, rounds < 100*times+100, "no progress")
-			units := p.Ready()
+			units := p.Ready(allTasks)
 			assert.Assert(r, len(units) > 0, "nothing is ready with %d of %d tasks done", len(done), 3*times)
 			for _, u := range units {
 				take = take*6364136223846793005 + 1442695040888963407
@@ -176,7 +176,7 @@
 	j := &Job{ID: testID, Times: 2, First: time.Unix(1000, 0), Interval: time.Second, Steps: []Step{{Count: 2, Gang: true}}}
 	p := NewProgress(j)
 	p.Open(longAfter)
-	u := p.Ready()[0]
+	u := p.Ready(allTasks)[0]
 	u.SetBusy(true)
 	u.SetBusy(true)
 	p.End(TaskID{Job: testID}, 1, Done, "")
@@ -187,3 +187,17 @@
 	assert.Assert(t, !p.HasUnit(u))
 	u.SetBusy(false)
 }
+
+// TestReadyShared guards against steps that are never placed because an earlier one has
+// so many tasks that wait.
+func TestReadyShared(t *testing.T) {
+	j := &Job{ID: testID, Steps: []Step{{Count: 8000, Label: "rare"}, {Count: 3}, {Count: 2, Gang: true}, {Count: 9, After: []int{1}}}}
+	p := NewProgress(j)
+	p.Open(longAfter)
+	counts := make(map[int]int)
+	for _, u := range p.Ready(300) {
+		counts[u.Step] += len(u.Members)
+	}
+	assert.DeepEqual(t, counts, map[int]int{0: 100, 1: 3, 2: 2})
+	assert.Equal(t, len(p.Ready(1)), 3)
+}
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -38,9 +38,18 @@
 		busy int
 	}
 
-	// StepState is the progress of a step.
+	// StepState is the progress of a step. It takes memory for the tasks that have
+	// made progress, not for those that wait.
 	StepState struct {
-		Tasks []Task
+		// count is the number of tasks.
+		count int
+		done  taskSet
+		// busy has the tasks that are placed or may be running.
+		busy taskSet
+		// failures and saved have the failed runs and the newest checkpoints of
+		// tasks.
+		failures map[int]Failures
+		saved    map[int]string
 		// remaining is the number of tasks that are not done.
 		remaining int
 		// gangFailures counts the failed runs of a gang.
@@ -151,26 +160,34 @@
 func newOccurrence(j *Job, k int) *Occurrence {
 	o := &Occurrence{Number: k, Steps: make([]StepState, len(j.Steps)), remaining: len(j.Steps)}
 	for i := range j.Steps {
-		o.Steps[i] = StepState{Tasks: make([]Task, j.Steps[i].Count), remaining: j.Steps[i].Count}
+		o.Steps[i] = StepState{count: j.Steps[i].Count, remaining: j.Steps[i].Count}
 	}
 	return o
 }
 
-// Ready returns the units that can be placed: the steps they depend on are done
-// and their tasks are neither done nor busy.
-func (p *Progress) Ready() []Unit {
+// Ready returns units that can be placed: the steps they depend on are done and their
+// tasks are neither done nor busy. The tasks that are not in gangs are about as many as
+// given at most, and are shared out evenly among the steps that have any.
+func (p *Progress) Ready(tasks int) []Unit {
 	if p.Ended != "" || p.Job.Cancelled {
 		return nil
 	}
-	var units []Unit
+	type readyStep struct {
+		occurrence *Occurrence
+		step       int
+	}
+	var steps []readyStep
 	for _, o := range p.Occurrences {
 		for i := range o.Steps {
-			if o.Steps[i].remaining == 0 || !p.dependenciesDone(o, i) {
-				continue
+			if o.Steps[i].remaining > 0 && p.dependenciesDone(o, i) {
+				steps = append(steps, readyStep{o, i})
 			}
-			units = p.appendReady(units, o, i)
 		}
 	}
+	var units []Unit
+	for _, s := range steps {
+		units = p.appendReady(units, s.occurrence, s.step, max(tasks/len(steps), 1))
+	}
 	return units
 }
 
@@ -183,20 +200,23 @@
 	return true
 }
 
-func (p *Progress) appendReady(units []Unit, o *Occurrence, step int) []Unit {
+// appendReady appends the units of a step that can be placed, a gang or at most the
+// given number of tasks.
+func (p *Progress) appendReady(units []Unit, o *Occurrence, step, tasks int) []Unit {
 	s := &o.Steps[step]
 	if p.Job.Steps[step].Gang {
-		for i := range s.Tasks {
-			if s.Tasks[i].Busy || s.Tasks[i].Done {
+		for i := range s.count {
+			if s.busy.has(i) || s.done.has(i) {
 				return units
 			}
 		}
 		return append(units, Unit{Progress: p, Occurrence: o.Number, Step: step,
 			Members: p.GangMembers(step)})
 	}
-	for i := range s.Tasks {
-		if !s.Tasks[i].Busy && !s.Tasks[i].Done {
+	for i := 0; i < s.count && tasks > 0; i++ {
+		if !s.busy.has(i) && !s.done.has(i) {
 			units = append(units, Unit{Progress: p, Occurrence: o.Number, Step: step, Members: []int{i}})
+			tasks--
 		}
 	}
 	return units
@@ -212,27 +232,24 @@
 	return members
 }
 
-// Task returns the progress of a task, or nil if the job has no such task or
+// Task returns the progress of a task, or the zero value if the job has no such task or
 // its occurrence is not open.
-func (p *Progress) Task(t TaskID) *Task {
+func (p *Progress) Task(t TaskID) Task {
 	s := p.step(t)
-	if s == nil || t.Index >= len(s.Tasks) {
-		return nil
+	if s == nil {
+		return Task{}
 	}
-	return &s.Tasks[t.Index]
+	return Task{Done: s.done.has(t.Index), Failures: s.failures[t.Index], Saved: s.saved[t.Index], Busy: s.busy.has(t.Index)}
 }
 
 // IsDone reports whether a task is done.
-func (p *Progress) IsDone(t TaskID) bool {
-	task := p.Task(t)
-	return task != nil && task.Done || p.isCompleted(t.Occurrence)
-}
+func (p *Progress) IsDone(t TaskID) bool { return p.Task(t).Done || p.isCompleted(t.Occurrence) }
 
-// step returns the state of the step of a task, or nil if the job has no such step or
+// step returns the state of the step of a task, or nil if the job has no such task or
 // its occurrence is not open.
 func (p *Progress) step(t TaskID) *StepState {
 	o := p.occurrence(t.Occurrence)
-	if o == nil || t.Step >= len(o.Steps) {
+	if o == nil || t.Step < 0 || t.Step >= len(o.Steps) || t.Index < 0 || t.Index >= o.Steps[t.Step].count {
 		return nil
 	}
 	return &o.Steps[t.Step]
@@ -241,44 +258,46 @@
 // Saved returns the checkpoint from which a task can resume, or an empty string.
 // The checkpoint of any member of a gang is valid for all members.
 func (p *Progress) Saved(t TaskID) string {
-	task := p.Task(t)
-	if task == nil {
+	s := p.step(t)
+	if s == nil {
 		return ""
 	}
 	if p.Job.Steps[t.Step].Gang {
-		return p.step(t).gangCheckpoint
+		return s.gangCheckpoint
 	}
-	return task.Saved
+	return s.saved[t.Index]
 }
 
 // Save records a checkpoint. It ignores empty ones and steps without checkpoints.
 func (p *Progress) Save(t TaskID, saved string) {
-	task := p.Task(t)
-	if task == nil || saved == "" || !p.Job.Steps[t.Step].Checkpoints {
+	s := p.step(t)
+	if s == nil || saved == "" || !p.Job.Steps[t.Step].Checkpoints {
 		return
 	}
-	task.Saved = saved
 	if p.Job.Steps[t.Step].Gang {
-		p.step(t).gangCheckpoint = saved
+		s.gangCheckpoint = saved
+		return
 	}
+	s.setSaved(t.Index, saved)
 }
 
 // End applies the end of a run and reports whether the snapshot of the progress
 // changed, so that it must be stored. The caller clears Busy.
 func (p *Progress) End(t TaskID, run int64, outcome RunOutcome, saved string) bool {
-	task := p.Task(t)
-	if task == nil || p.Ended != "" {
+	s := p.step(t)
+	if s == nil || p.Ended != "" {
 		return false
 	}
+	done := s.done.has(t.Index)
 	step := &p.Job.Steps[t.Step]
 	p.Save(t, saved)
 	switch {
 	case step.LongRunning:
 		return false
-	case outcome == Done && !task.Done:
+	case outcome == Done && !done:
 		p.markDone(t, step.Gang)
 		return true
-	case outcome == Failed && !task.Done:
+	case outcome == Failed && !done:
 		return p.recordFailure(t, run, step.Gang)
 	}
 	return saved != "" && step.Checkpoints
@@ -290,13 +309,15 @@
 	s := &o.Steps[t.Step]
 	first, last := t.Index, t.Index
 	if gang {
-		first, last = 0, len(s.Tasks)-1
+		first, last = 0, s.count-1
 	}
 	for i := first; i <= last; i++ {
-		if !s.Tasks[i].Done {
-			s.Tasks[i].Done = true
+		if !s.done.has(i) {
+			s.done.set(i, true)
 			s.remaining--
 		}
+		delete(s.failures, i)
+		delete(s.saved, i)
 	}
 	if s.remaining == 0 {
 		o.remaining--
@@ -320,15 +341,20 @@
 
 func (p *Progress) recordFailure(t TaskID, run int64, gang bool) bool {
 	s := p.step(t)
-	f := &s.Tasks[t.Index].Failures
+	f := s.failures[t.Index]
 	if gang {
-		f = &s.gangFailures
+		f = s.gangFailures
 	}
 	if run <= f.Last {
 		return false
 	}
 	f.Count++
 	f.Last = run
+	if gang {
+		s.gangFailures = f
+	} else {
+		s.setFailures(t.Index, f)
+	}
 	if f.Count >= p.Job.MaxAttempts {
 		p.Ended = FailedJob
 		p.Reason = reasonAttempts
@@ -349,6 +375,20 @@
 	return Pending
 }
 
+func (s *StepState) setFailures(index int, f Failures) {
+	if s.failures == nil {
+		s.failures = make(map[int]Failures)
+	}
+	s.failures[index] = f
+}
+
+func (s *StepState) setSaved(index int, checkpoint string) {
+	if s.saved == nil {
+		s.saved = make(map[int]string)
+	}
+	s.saved[index] = checkpoint
+}
+
 // Tasks returns the identifiers of the members.
 func (u Unit) Tasks() []TaskID {
 	ids := make([]TaskID, len(u.Members))
@@ -365,7 +405,7 @@
 // occurrences of p.
 func (p *Progress) HasUnit(u Unit) bool {
 	for _, id := range u.Tasks() {
-		if p.Task(id) == nil {
+		if p.step(id) == nil {
 			return false
 		}
 	}
@@ -378,14 +418,14 @@
 	if o == nil {
 		return
 	}
+	s := &o.Steps[u.Step]
 	for _, m := range u.Members {
-		task := &o.Steps[u.Step].Tasks[m]
 		switch {
-		case busy && !task.Busy:
+		case busy && !s.busy.has(m):
 			o.busy++
-		case !busy && task.Busy:
+		case !busy && s.busy.has(m):
 			o.busy--
 		}
-		task.Busy = busy
+		s.busy.set(m, busy)
 	}
 }
--- a/internal/graph/progress_test.go
+++ b/internal/graph/progress_test.go
@@ -13,7 +13,11 @@
 	"pgregory.net/rapid"
 )
 
-const testID ID = "0123456789abcdef"
+const (
+	testID ID = "0123456789abcdef"
+	// allTasks is a bound for Ready that no job reaches.
+	allTasks = maxTasks
+)
 
 // chainJob returns a job of a gang of three tasks, followed by a step of four.
 func chainJob() *Job {
@@ -32,7 +36,7 @@
 // render writes the phase, the ready units and the snapshot of p.
 func render(b *strings.Builder, title string, p *Progress) {
 	fmt.Fprintf(b, "%s: phase %s, ready", title, p.Phase())
-	for _, u := range p.Ready() {
+	for _, u := range p.Ready(allTasks) {
 		fmt.Fprintf(b, " %d%v", u.Step, u.Members)
 	}
 	encoded, err := json.Marshal(p.Snapshot())
@@ -50,7 +54,7 @@
 	p := NewProgress(chainJob())
 	p.Open(time.Unix(1000, 0))
 	render(&b, "accepted", p)
-	p.Ready()[0].SetBusy(true)
+	p.Ready(allTasks)[0].SetBusy(true)
 	render(&b, "gang placed", p)
 	p.End(task(0, 1), 1, Failed, "c1")
 	p.End(task(0, 2), 1, Failed, "")
@@ -105,7 +109,7 @@
 
 func readyTasks(p *Progress) []TaskID {
 	var ids []TaskID
-	for _, u := range p.Ready() {
+	for _, u := range p.Ready(allTasks) {
 		ids = append(ids, u.Tasks()...)
 	}
 	return ids
--- a/internal/graph/snapshot.go
+++ b/internal/graph/snapshot.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/big"
 	"slices"
 )
@@ -178,28 +179,14 @@
 
 func (s *StepState) snapshot() StepSnapshot {
 	snap := StepSnapshot{Gang: s.gangFailures, GangSaved: s.gangCheckpoint}
-	done := new(big.Int)
-	for i := range s.Tasks {
-		t := &s.Tasks[i]
-		if t.Done {
-			done.SetBit(done, i, 1)
-			continue
-		}
-		if t.Failures.Count > 0 {
-			if snap.Failures == nil {
-				snap.Failures = make(map[int]Failures)
-			}
-			snap.Failures[i] = t.Failures
-		}
-		if t.Saved != "" && s.gangCheckpoint == "" {
-			if snap.Saved == nil {
-				snap.Saved = make(map[int]string)
-			}
-			snap.Saved[i] = t.Saved
-		}
+	if len(s.failures) > 0 {
+		snap.Failures = maps.Clone(s.failures)
 	}
-	if done.Sign() > 0 {
-		snap.Done = done.Text(hexadecimalBase)
+	if len(s.saved) > 0 {
+		snap.Saved = maps.Clone(s.saved)
+	}
+	if s.done.bits.Sign() > 0 {
+		snap.Done = s.done.bits.Text(hexadecimalBase)
 	}
 	return snap
 }
@@ -280,7 +267,7 @@
 		}
 		// The other leader has closed it, since it is completed.
 		for i := range o.Steps {
-			for t := range o.Steps[i].Tasks {
+			for t := range o.Steps[i].count {
 				end(o.Number, i, t)
 			}
 		}
@@ -300,15 +287,16 @@
 func (p *Progress) mergeFailures(occurrence, step int, snap StepSnapshot) bool {
 	changed := false
 	for index, f := range snap.Failures {
-		task := p.Task(TaskID{p.Job.ID, occurrence, step, index})
-		if task != nil && f.Count > task.Failures.Count {
-			task.Failures, changed = f, true
+		s := p.step(TaskID{p.Job.ID, occurrence, step, index})
+		if s != nil && !s.done.has(index) && f.Count > s.failures[index].Count {
+			s.setFailures(index, f)
+			changed = true
 		}
 	}
-	if p.Task(TaskID{p.Job.ID, occurrence, step, 0}) == nil {
+	s := p.step(TaskID{p.Job.ID, occurrence, step, 0})
+	if s == nil {
 		return changed
 	}
-	s := &p.occurrence(occurrence).Steps[step]
 	if snap.Gang.Count > s.gangFailures.Count {
 		s.gangFailures, changed = snap.Gang, true
 	}
@@ -326,8 +314,8 @@
 			if s.gangFailures.Count >= p.Job.MaxAttempts {
 				return true
 			}
-			for j := range s.Tasks {
-				if !s.Tasks[j].Done && s.Tasks[j].Failures.Count >= p.Job.MaxAttempts {
+			for _, f := range s.failures {
+				if f.Count >= p.Job.MaxAttempts {
 					return true
 				}
 			}
@@ -339,12 +327,21 @@
 func (s *StepState) restore(snap StepSnapshot) {
 	s.gangFailures, s.gangCheckpoint = snap.Gang, snap.GangSaved
 	done, ok := new(big.Int).SetString(snap.Done, hexadecimalBase)
-	for i := range s.Tasks {
-		if ok && done.Bit(i) == 1 {
-			s.Tasks[i].Done = true
+	for i := 0; ok && i < min(done.BitLen(), s.count); i++ {
+		if done.Bit(i) == 1 {
+			s.done.set(i, true)
 			s.remaining--
 		}
-		s.Tasks[i].Failures = snap.Failures[i]
-		s.Tasks[i].Saved = snap.Saved[i]
+	}
+	waits := func(i int) bool { return i >= 0 && i < s.count && !s.done.has(i) }
+	for i, f := range snap.Failures {
+		if waits(i) {
+			s.setFailures(i, f)
+		}
+	}
+	for i, saved := range snap.Saved {
+		if waits(i) {
+			s.setSaved(i, saved)
+		}
 	}
 }
--- a/internal/lead/reports_test.go
+++ b/internal/lead/reports_test.go
@@ -22,7 +22,7 @@
 	l.applyEvents(t)
 	spec := &graph.Job{ID: "j", MaxAttempts: 3, Steps: []graph.Step{{Count: 4}}}
 	j := l.addJob(spec, graph.NewProgress(spec))
-	for _, u := range j.progress.Ready() {
+	for _, u := range j.progress.Ready(allTasks) {
 		entries := make([]*pool.Worker, len(u.Members))
 		for i := range entries {
 			entries[i] = l.pool.Worker("w")
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -198,6 +198,10 @@
 	// maxPlacedTasks bounds the tasks of one job that are placed at a time. The
 	// row of 2000 tasks with their checkpoints takes 48 KB; the limit is 64 KB.
 	maxPlacedTasks = 2000
+	// maxReadyTasks is about the number of tasks of one job that a decision
+	// considers, so that the memory and the time of a decision do not grow with the
+	// tasks that wait.
+	maxReadyTasks = 500
 	// runsPerEpoch bounds the run numbers, and so the starts, of one job in one
 	// term.
 	runsPerEpoch = 1 << 20
@@ -445,6 +449,10 @@
 	for _, start := range decision.Starts {
 		t.place(now, start)
 	}
+	if len(decision.Starts) >= maxReadyTasks {
+		// A job may have more tasks that fit.
+		t.pacer.changed = true
+	}
 	if counts := fmt.Sprint(decision.Waits); counts != t.lastWaitCounts {
 		t.lastWaitCounts = counts
 		t.Log.Write(event.UnitsWait, "counts", decision.Waits, "placed", len(t.placements))
@@ -455,7 +463,7 @@
 func (t *term) readyUnits() []graph.Unit {
 	var units []graph.Unit
 	for _, j := range t.jobs {
-		units = append(units, j.limitPlaced(j.progress.Ready())...)
+		units = append(units, j.limitPlaced(j.progress.Ready(maxReadyTasks))...)
 	}
 	return units
 }
--- a/internal/lead/stall_test.go
+++ b/internal/lead/stall_test.go
@@ -16,6 +16,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// allTasks is a bound of ready tasks that no job of the tests reaches.
+const allTasks = 10_000
+
 // stallTerm is a term with workers w1 to w8, whose reports the test makes.
 type stallTerm struct {
 	*listTerm
@@ -49,7 +52,7 @@
 	for _, w := range workers {
 		entries = append(entries, l.pool.Worker(w))
 	}
-	for _, u := range j.progress.Ready() {
+	for _, u := range j.progress.Ready(allTasks) {
 		l.place(time.Now(), plan.Start{Unit: u, Workers: entries[:len(u.Members)]})
 		entries = entries[len(u.Members):]
 	}
--- a/internal/plan/decide_test.go
+++ b/internal/plan/decide_test.go
@@ -13,6 +13,9 @@
 	"pgregory.net/rapid"
 )
 
+// allTasks is a bound of ready tasks that no job of the tests reaches.
+const allTasks = 10_000
+
 var testTime = time.Unix(1000, 0)
 
 func gpus(n int64) graph.Demand { return graph.Demand{Accelerators: n} }
@@ -40,7 +43,7 @@
 	}
 	p := graph.NewProgress(j)
 	p.Open(testTime)
-	return p.Ready()[0]
+	return p.Ready(allTasks)[0]
 }
 
 func gangStep(count int, demand graph.Demand) graph.Step {
@@ -143,7 +146,7 @@
 		{"limit of tasks per worker within one round", func(v *View) {
 			s := graph.Step{Count: 3, Demand: gpus(1), MaxPerWorker: 1, Estimate: time.Second}
 			u := newUnit("apart", "a", 1, 0, s)
-			v.Waiting = append(v.Waiting, u.Progress.Ready()...)
+			v.Waiting = append(v.Waiting, u.Progress.Ready(allTasks)...)
 		}},
 		{"tasks of which only a limited number may be missing are not preempted", func(v *View) {
 			serving := gangStep(2, gpus(8))
@@ -282,6 +285,6 @@
 		v.Waiting = append(v.Waiting, newUnit(fmt.Sprintf("u%d", i), "a", i%3, 0, s))
 	}
 	wide := newUnit("wide", "b", 2, 0, graph.Step{Count: 100, Demand: gpus(1), Estimate: time.Second})
-	v.Waiting = append(v.Waiting, wide.Progress.Ready()...)
+	v.Waiting = append(v.Waiting, wide.Progress.Ready(allTasks)...)
 	return v
 }
--- a/internal/plan/headroom_test.go
+++ b/internal/plan/headroom_test.go
@@ -54,7 +54,7 @@
 			}
 			v.Placements = nil
 			batch := newUnit("next", "b", c.priority, 0, graph.Step{Count: 4, Demand: gpus(8), Estimate: time.Second})
-			v.Waiting = batch.Progress.Ready()
+			v.Waiting = batch.Progress.Ready(allTasks)
 			d := Decide(testTime.Add(c.after), v)
 			assert.Equal(t, len(d.Starts), c.starts)
 			// Once one unit of a step has to wait, the others count under "room".
--- a/internal/plan/replay_test.go
+++ b/internal/plan/replay_test.go
@@ -114,7 +114,7 @@
 	}
 	p := graph.NewProgress(j)
 	p.Open(r.now)
-	r.view.Waiting = append(r.view.Waiting, p.Ready()...)
+	r.view.Waiting = append(r.view.Waiting, p.Ready(allTasks)...)
 }
 
 // run runs the simulation until all jobs have ended or replayLimit has passed.
--- a/internal/trial/overdue_test.go
+++ b/internal/trial/overdue_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"fmt"
 	"runtime"
 	"strings"
 	"testing"
@@ -10,6 +11,10 @@
 	"gotest.tools/v3/assert"
 )
 
+// maxHeap is the memory of the smallest instance of the platform. In the tests three
+// instances and the stand-ins share it.
+const maxHeap = 184 << 20
+
 // TestOverdueJob guards against a job with a million overdue occurrences that ends each
 // leader in turn, since it takes all of its memory, or that keeps other jobs from
 // running. The leader is lost meanwhile, and the job is cancelled at the end.
@@ -17,9 +22,6 @@
 	const (
 		overdue, small, large graph.ID = "1111111111111111", "2222222222222222", "3333333333333333"
 		times                          = 1_000_000
-		// maxHeap is the memory of the smallest instance of the platform. The three
-		// instances and the stand-ins share it here.
-		maxHeap = 184 << 20
 	)
 	runHarness(t, func(h *harness) {
 		h.durations = map[graph.ID]time.Duration{overdue: 6 * time.Second}
@@ -32,9 +34,7 @@
 		h.submit(1, "normal", "kn", small, graph.Step{Count: 8, Demand: gpu(1), Estimate: 2 * time.Second})
 		h.submit(1, "urgent", "kn", large, graph.Step{Count: 1, Demand: gpu(8), Gang: true, Estimate: time.Second})
 		time.Sleep(10 * time.Second)
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		assert.Assert(t, m.HeapAlloc < maxHeap, "%d MB in use", m.HeapAlloc>>20)
+		checkHeap(t)
 		assert.Equal(t, h.phase("normal", "kn", small), "completed")
 		assert.Equal(t, h.phase("urgent", "kn", large), "completed")
 		l := h.leader()
@@ -60,3 +60,27 @@
 		}
 	})
 }
+
+// TestManyWideJobs guards against accepted jobs of thousands of tasks each that end each
+// leader in turn, since every task that waits takes memory.
+func TestManyWideJobs(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		time.Sleep(2 * time.Second)
+		for n := range 300 {
+			h.submit(n, "normal", "ks", graph.ID(fmt.Sprintf("%016x", n)),
+				graph.Step{Count: 9_000, Demand: gpu(1), Estimate: time.Second}, graph.Step{Count: 1_000, Demand: gpu(8), Gang: true, After: []int{0}})
+		}
+		for range 4 {
+			time.Sleep(300 * time.Millisecond)
+			checkHeap(t)
+		}
+	})
+}
+
+func checkHeap(t *testing.T) {
+	t.Helper()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	assert.Assert(t, m.HeapAlloc < maxHeap, "%d MB in use", m.HeapAlloc>>20)
+	t.Logf("%d MB in use", m.HeapAlloc>>20)
+}
