--- a/internal/ledger/cancel_test.go
+++ b/internal/ledger/cancel_test.go
@@ -59,12 +59,12 @@
 				random := rand.New(rand.NewPCG(seed, 1))
 				table := fakes.NewTable()
 				l := New(table.Store())
-				between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
 				go func() {
+					random := rand.New(rand.NewPCG(seed, 2))
 					for range 12 {
 						switch random.IntN(5) {
 						case 0:
-							table.Faults.Set(fakes.Fault{Kind: fakes.Slow, Delay: between(0, 6*time.Second)})
+							table.Faults.Set(fakes.Fault{Kind: fakes.Slow, Delay: upTo(random, 6*time.Second)})
 						case 1:
 							table.Faults.Set(fakes.Fault{Kind: fakes.Lost})
 						case 2:
@@ -74,7 +74,7 @@
 						default:
 							table.Faults.Clear()
 						}
-						time.Sleep(between(0, 700*time.Millisecond))
+						time.Sleep(upTo(random, 700*time.Millisecond))
 					}
 					table.Faults.Clear()
 				}()
@@ -83,7 +83,6 @@
 					err     error
 					at      time.Time
 				}
-				// Each caller works with a source of its own, since they run at the same time.
 				call := func(pause time.Duration, f func(context.Context) (Outcome, error)) answer {
 					time.Sleep(pause)
 					ctx, cancel := context.WithTimeout(t.Context(), 2750*time.Millisecond)
@@ -95,7 +94,7 @@
 				withdraw := func(ctx context.Context) (Outcome, error) { return l.Cancel(ctx, testID) }
 				submissions, cancels := make(chan answer, 3), make(chan answer, 3)
 				for range 3 {
-					submitPause, cancelPause := between(0, 5*time.Second), between(0, 8*time.Second)
+					submitPause, cancelPause := upTo(random, 5*time.Second), upTo(random, 8*time.Second)
 					go func() { submissions <- call(submitPause, accept) }()
 					go func() { cancels <- call(cancelPause, withdraw) }()
 				}
@@ -137,3 +136,8 @@
 		})
 	}
 }
+
+// upTo returns a random duration below limit.
+func upTo(random *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(limit)))
+}
