Tell the mark of a cancelled request from a job in the matrix

make matrix on the code before: 6 breaches of 714 cells, "P5: submission unwanted was answered notRun and has a row". In these cells the store is down when the job is submitted, which is answered notRun, and its cancel finds no job and leaves the record that it was never accepted. That record is no job: it is not shown, listed or run, and the refusal was true.

The check passes over these records and requires in their place that a job which has one has no row of another kind, which is what the record is for. make matrix now: cells=714 breaches=0 unreached=0.

--- a/internal/matrix/check_test.go
+++ b/internal/matrix/check_test.go
@@ -356,14 +356,27 @@
 }
 
 // checkRefusals checks P5 for jobs: a job whose submissions were all answered
-// notRun has no row.
+// notRun has no row, but for the mark that its cancelling leaves. A job with that mark
+// has no other row.
 func (c *checker) checkRefusals() {
 	onlyNotRun := make(map[ident.Request]bool)
 	for _, s := range c.Submissions {
 		before, seen := onlyNotRun[s.Request]
 		onlyNotRun[s.Request] = s.Outcome == "notRun" && (before || !seen)
 	}
+	neverAccepted := make(map[string]bool)
 	for _, r := range c.jobRows {
+		if r.job.IsNeverAccepted() {
+			neverAccepted[record.JobKey(r.job.Workspace, r.job.ID)] = true
+		}
+	}
+	for _, r := range c.jobRows {
+		if r.job.IsNeverAccepted() {
+			continue
+		}
+		if neverAccepted[record.JobKey(r.job.Workspace, r.job.ID)] {
+			c.report("P5", "the cancelling of %s found no job, and it has a row", r.job.ID)
+		}
 		id := ident.Request(strings.TrimPrefix(string(r.job.ID), "req-"))
 		if onlyNotRun[id] {
 			c.report("P5", "submission %s was answered notRun and has a row", id)
