Let TestSoundTaskStalls fail without what it guards

Cause: the test looked at the quarantined workers while one on suspicion alone, 2 s, would still have lasted. With soundTask always false it passed.

Change: the test looks again after such a quarantine would have ended. Nothing is taken out, and the product is untouched.

--- a/internal/lead/stall_test.go
+++ b/internal/lead/stall_test.go
@@ -161,6 +161,12 @@
 		l.report(time.Second, "advanced", "gang", "siblings.0.0.1")
 		l.report(2*time.Second, "siblings.0.0.1")
 		assert.Equal(t, l.quarantined(), " w1 w2")
+		// A quarantine on suspicion alone would have ended: that of w2 0.3 s before the
+		// first check, that of w1 0.4 s before the second one.
+		l.report(800*time.Millisecond, "siblings.0.0.1")
+		assert.Equal(t, l.quarantined(), " w1 w2")
+		l.report(1100*time.Millisecond, "siblings.0.0.1")
+		assert.Equal(t, l.quarantined(), " w1")
 		cancel()
 		l.goroutines.Wait()
 	})
