Replace the attributes of a listed worker as a whole

Cause: applyListed copied the entry into the pool only if sameAttributes found a difference, and sameAttributes did not compare the labels. A restart that is shorter than three heartbeats leaves the entry in the list, so nothing else told of the change.

Fix: what the list says of a worker is one value, pool.Attributes, compared and replaced as a whole.

The audit queue in the trial's configuration is new.

--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -189,6 +189,13 @@
 	c.ended = append(c.ended, j)
 }
 
+// requestCommit has the pending changes stored within commitDelay.
+func (t *term) requestCommit() {
+	if t.dirtySince.IsZero() {
+		t.dirtySince = time.Now()
+	}
+}
+
 // row returns the progress row of a job that has not ended. Checkpoints are left
 // out if the row would be too large; then tasks that a later leader places again
 // start from the beginning.
@@ -270,8 +277,8 @@
 	for _, w := range c.workers {
 		// The address may have changed while the transaction was under way.
 		w.rowStored, w.rowPending = w.rowAddress == w.info.Address, false
-		if !w.rowStored && t.dirtySince.IsZero() {
-			t.dirtySince = time.Now()
+		if !w.rowStored {
+			t.requestCommit()
 		}
 		t.updateClosed(w)
 	}
--- a/internal/lead/commit_test.go
+++ b/internal/lead/commit_test.go
@@ -31,7 +31,7 @@
 	for i := range many {
 		leader.pending.removed = append(leader.pending.removed, pool.WorkerID(fmt.Sprint("gone", i)))
 		id := pool.WorkerID(fmt.Sprint("new", i))
-		leader.workers[id] = &worker{info: pool.Worker{ID: id}}
+		leader.workers[id] = &worker{info: ListedWorker{ID: id}}
 		j := &graph.Job{ID: graph.ID(fmt.Sprint("job", i)), Steps: []graph.Step{{Count: 1}}}
 		leader.jobs[j.ID] = &job{progress: graph.NewProgress(j), dirty: true}
 	}
@@ -66,7 +66,7 @@
 		id := graph.TaskID{Job: spec.ID, Index: i}
 		p.Save(id, fmt.Sprintf("%016x", random.Uint64()))
 		placed := &placement{job: j, run: 5<<20 + random.Int64N(int64(2*tasks)), remaining: 1}
-		w := &worker{info: pool.Worker{ID: pool.WorkerID(fmt.Sprintf("i-%010x", 1<<36+random.IntN(350)*98765431))}}
+		w := &worker{info: ListedWorker{ID: pool.WorkerID(fmt.Sprintf("i-%010x", 1<<36+random.IntN(350)*98765431))}}
 		placed.members = []*member{{task: id, placement: placed, worker: w}}
 		j.placements[placed] = true
 	}
@@ -116,7 +116,7 @@
 				p.End(id, run, graph.Failed, fmt.Sprintf("%016x", random.Uint64()))
 				placed := &placement{job: j, run: run + 1, remaining: 1}
 				placed.Unit = graph.Unit{Progress: p, Occurrence: o.Number, Step: step, Members: []int{0}}
-				w := &worker{info: pool.Worker{ID: pool.WorkerID(fmt.Sprintf("i-%010x", 1<<36+random.IntN(350)*98765431))}}
+				w := &worker{info: ListedWorker{ID: pool.WorkerID(fmt.Sprintf("i-%010x", 1<<36+random.IntN(350)*98765431))}}
 				placed.members = []*member{{task: id, placement: placed, worker: w}}
 				j.placements[placed] = true
 			}
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -144,9 +144,7 @@
 	t.mu.Lock()
 	t.unstored[j.progress.Job.ID] = j.progress.Snapshot()
 	t.mu.Unlock()
-	if t.dirtySince.IsZero() {
-		t.dirtySince = time.Now()
-	}
+	t.requestCommit()
 }
 
 // publishStatus publishes the phase of a job. Completed and failed are published
--- a/internal/lead/load.go
+++ b/internal/lead/load.go
@@ -255,10 +255,9 @@
 			t.Log.Write(event.RowUnread, "key", ch.Row.Key, "reason", err.Error())
 			continue
 		}
-		w := t.addWorker(pool.Worker{
-			ID: pool.WorkerID(store.RowName(ch.Row.Key)), Address: row.Address, Service: row.Service,
-			Domain: row.Domain, Rack: row.Rack,
-		})
+		w := t.addWorker(ListedWorker{ID: pool.WorkerID(store.RowName(ch.Row.Key)), Attributes: pool.Attributes{
+			Address: row.Address, Service: row.Service, Domain: row.Domain, Rack: row.Rack,
+		}})
 		w.rowStored, w.unresolved = true, true
 		t.unresolvedWorkers++
 		t.updatePool(w)
--- a/internal/lead/log_test.go
+++ b/internal/lead/log_test.go
@@ -44,7 +44,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		l := newLoggedTerm(ctx)
 		for _, a := range []string{"10.0.0.1:80", "10.0.0.1:80", "10.0.0.2:80"} {
-			l.applyListed(ListedWorker{Worker: pool.Worker{ID: "w", Address: netip.MustParseAddrPort(a)}})
+			l.applyListed(ListedWorker{ID: "w", Attributes: pool.Attributes{Address: netip.MustParseAddrPort(a)}})
 		}
 		cancel()
 		l.goroutines.Wait()
@@ -60,7 +60,7 @@
 		now := time.Now()
 		report := reportSummary{requestedAt: now, running: 3, ended: 2}
 		m := &member{task: graph.TaskID{Job: "j"}, placement: &placement{run: 7}, startSent: true, incarnation: 1}
-		w := &worker{info: pool.Worker{ID: "w"}, listed: true, incarnation: 1}
+		w := &worker{info: ListedWorker{ID: "w"}, listed: true, incarnation: 1}
 		l.logLost(w, m, "leases ended")
 		w.lastReport = report
 		l.logLost(w, m, "reborn")
@@ -76,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := newLoggedTerm(t.Context())
 		l.jobs = make(map[graph.ID]*job)
-		w := &worker{info: pool.Worker{ID: "w"}, members: make(map[graph.TaskID]*member)}
+		w := &worker{info: ListedWorker{ID: "w"}, members: make(map[graph.TaskID]*member)}
 		w.agent = agent.New(agent.Deps{})
 		report := func(incarnationStart int64, numbers ...int64) {
 			r := agent.Report{IncarnationStart: time.Unix(incarnationStart, 0).UTC()}
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -176,9 +176,7 @@
 	if last > 0 {
 		w.lastEndNumber = max(w.lastEndNumber, last)
 		t.pending.acks = append(t.pending.acks, ack{w, r.IncarnationStart, last, newEnds})
-		if t.dirtySince.IsZero() {
-			t.dirtySince = time.Now()
-		}
+		t.requestCommit()
 	}
 }
 
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -40,7 +40,8 @@
 
 	// ListedWorker is a worker as it appears in the platform's list.
 	ListedWorker struct {
-		pool.Worker
+		ID pool.WorkerID
+		pool.Attributes
 		// Draining workers finish their runs and then leave.
 		Draining bool
 		// Remaining is the least time for which a draining worker stays. It is 0
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -23,13 +23,14 @@
 
 	// worker is the state of a worker in the term.
 	worker struct {
-		info  pool.Worker
+		// info is the worker's entry in the list as last read. Before that, it is
+		// what the row of the worker says.
+		info  ListedWorker
 		agent *agent.Agent
 		// stop ends the goroutine of agent.
 		stop context.CancelFunc
 		// listed reports whether the worker is in the platform's list.
-		listed   bool
-		draining bool
+		listed bool
 		// answered reports whether the worker has answered in this term at its
 		// present address, and unreachable whether its last calls have failed.
 		answered    bool
@@ -131,52 +132,39 @@
 
 // applyListed adds a worker that is in the list, or updates it.
 func (t *term) applyListed(l ListedWorker) {
-	w, ok := t.workers[l.ID]
-	switch {
-	case ok && w.info.Address != l.Address:
-		t.changeAddress(w, l.Address)
-	case !ok:
-		w = t.addWorker(l.Worker)
+	w, known := t.workers[l.ID]
+	if !known {
+		w = t.addWorker(l)
 		t.Log.Write(event.WorkerListed, "worker", string(l.ID), "domain", l.Domain, "rack", l.Rack, "service", l.Service)
-		if t.dirtySince.IsZero() {
-			t.dirtySince = time.Now()
-		}
+		t.requestCommit()
+	}
+	former, wasListed := w.info, w.listed
+	w.info, w.listed = l, true
+	if known && former.Address != l.Address {
+		t.changeAddress(w, former.Address)
 	}
-	if !w.listed || !sameAttributes(w.info, l.Worker) {
-		w.info.Service, w.info.Labels, w.info.Capacity = l.Service, l.Labels, l.Capacity
-		w.info.Domain, w.info.Rack = l.Domain, l.Rack
+	if !wasListed || !former.Equal(l.Attributes) {
 		t.updatePool(w)
 	}
-	w.listed = true
-	if l.Draining && !w.draining {
+	if l.Draining && !(wasListed && former.Draining) {
 		t.Log.Write(event.WorkerDrains, "worker", string(l.ID), "remaining", l.Remaining.String(), "runs", len(w.members))
 	}
-	w.draining = l.Draining
 	t.updateClosed(w)
 }
 
-// changeAddress updates the address of a worker. Its runs stay until an
+// changeAddress follows a change of the address of a worker. Its runs stay until an
 // incarnation of it has answered at the new address, or until their leases have
 // expired.
-func (t *term) changeAddress(w *worker, address netip.AddrPort) {
-	t.Log.Write(event.WorkerMoved, "worker", string(w.info.ID), "former", w.info.Address.String(),
-		"address", address.String(), "runs", len(w.members))
-	w.info.Address = address
+func (t *term) changeAddress(w *worker, former netip.AddrPort) {
+	t.Log.Write(event.WorkerMoved, "worker", string(w.info.ID), "former", former.String(),
+		"address", w.info.Address.String(), "runs", len(w.members))
 	w.answered, w.rowStored = false, false
-	w.agent.SetAddress(address)
-	if t.dirtySince.IsZero() {
-		t.dirtySince = time.Now()
-	}
-}
-
-// sameAttributes reports whether two entries of a worker agree in what decides
-// where tasks are placed, except for labels.
-func sameAttributes(a, b pool.Worker) bool {
-	return a.Service == b.Service && a.Capacity == b.Capacity && a.Rack == b.Rack && a.Domain == b.Domain
+	w.agent.SetAddress(w.info.Address)
+	t.requestCommit()
 }
 
 // addWorker adds a worker and starts its agent.
-func (t *term) addWorker(info pool.Worker) *worker {
+func (t *term) addWorker(info ListedWorker) *worker {
 	incarnation := t.nextIncarnation[info.ID]
 	w := &worker{info: info, members: make(map[graph.TaskID]*member), incarnation: incarnation}
 	t.workers[info.ID] = w
@@ -195,15 +183,11 @@
 func (t *term) updatePool(w *worker) {
 	if pooled := t.pool.Worker(w.info.ID); pooled != nil {
 		// Placements hold pointers to the pool's entry, so it is updated in place.
-		pooled.Service, pooled.Labels, pooled.Capacity, pooled.Domain = w.info.Service, w.info.Labels, w.info.Capacity, w.info.Domain
-		if pooled.Rack != w.info.Rack {
-			t.pool.SetRack(pooled, w.info.Rack)
-		}
+		t.pool.SetAttributes(pooled, w.info.Attributes)
+		t.pacer.changed = true
 		return
 	}
-	pooled := w.info
-	pooled.Closed = true
-	t.pool.Put(&pooled)
+	t.pool.Put(&pool.Worker{ID: w.info.ID, Attributes: w.info.Attributes, Closed: true})
 }
 
 // updateClosed updates whether the worker is closed to new tasks.
@@ -212,7 +196,7 @@
 	if p == nil {
 		return
 	}
-	closed := !w.listed || w.draining || !w.answered || w.unreachable || !w.rowStored || t.outOfService[w.info.Domain]
+	closed := !w.listed || w.info.Draining || !w.answered || w.unreachable || !w.rowStored || t.outOfService[w.info.Domain]
 	if closed != p.Closed {
 		p.Closed = closed
 		t.pacer.changed = true
@@ -257,9 +241,7 @@
 	t.nextIncarnation[w.info.ID] = w.agent.Incarnation() + 1
 	t.pool.Remove(w.info.ID)
 	t.pending.removed = append(t.pending.removed, w.info.ID)
-	if t.dirtySince.IsZero() {
-		t.dirtySince = time.Now()
-	}
+	t.requestCommit()
 }
 
 // loseRuns ends all runs on a worker as lost.
--- a/internal/lead/workers_test.go
+++ b/internal/lead/workers_test.go
@@ -52,7 +52,7 @@
 func readWorker(row store.Row) (ListedWorker, error) {
 	var address netip.AddrPort
 	err := json.Unmarshal(row.Value, &address)
-	return ListedWorker{Worker: pool.Worker{ID: pool.WorkerID(store.RowName(row.Key)), Address: address}}, err
+	return ListedWorker{ID: pool.WorkerID(store.RowName(row.Key)), Attributes: pool.Attributes{Address: address}}, err
 }
 
 // listChange returns a change that lists worker w at an address.
--- a/internal/plan/decide_test.go
+++ b/internal/plan/decide_test.go
@@ -27,7 +27,8 @@
 	for r := range 2 {
 		for i := range 2 {
 			p.Put(&pool.Worker{
-				ID: pool.WorkerID(fmt.Sprintf("w%d%d", r, i)), Service: "s", Rack: fmt.Sprintf("r%d", r), Capacity: gpus(8),
+				ID:         pool.WorkerID(fmt.Sprintf("w%d%d", r, i)),
+				Attributes: pool.Attributes{Service: "s", Rack: fmt.Sprintf("r%d", r), Capacity: gpus(8)},
 			})
 		}
 	}
@@ -223,8 +224,8 @@
 	for r := range racks {
 		for i := range 8 {
 			p.Put(&pool.Worker{
-				ID: pool.WorkerID(fmt.Sprintf("w%d-%d", r, i)), Service: "s", Rack: fmt.Sprint(r), Capacity: gpus(8),
-				Occupied: gpus(8),
+				ID:         pool.WorkerID(fmt.Sprintf("w%d-%d", r, i)),
+				Attributes: pool.Attributes{Service: "s", Rack: fmt.Sprint(r), Capacity: gpus(8)}, Occupied: gpus(8),
 			})
 		}
 	}
@@ -262,7 +263,10 @@
 	for r := range racks {
 		var ids []pool.WorkerID
 		for i := range 8 {
-			w := &pool.Worker{ID: pool.WorkerID(fmt.Sprintf("w%d-%d", r, i)), Service: "s", Rack: fmt.Sprint(r), Capacity: gpus(8)}
+			w := &pool.Worker{
+				ID:         pool.WorkerID(fmt.Sprintf("w%d-%d", r, i)),
+				Attributes: pool.Attributes{Service: "s", Rack: fmt.Sprint(r), Capacity: gpus(8)},
+			}
 			v.Pool.Put(w)
 			ids = append(ids, w.ID)
 		}
--- a/internal/plan/replay_test.go
+++ b/internal/plan/replay_test.go
@@ -82,8 +82,10 @@
 	for rack := range replayRacks {
 		for i := range 8 {
 			r.view.Pool.Put(&pool.Worker{
-				ID: pool.WorkerID(fmt.Sprintf("w%d%d", rack, i)), Service: "s", Rack: fmt.Sprint("r", rack),
-				Capacity: graph.Demand{Accelerators: 8, Millicores: 64000},
+				ID: pool.WorkerID(fmt.Sprintf("w%d%d", rack, i)),
+				Attributes: pool.Attributes{
+					Service: "s", Rack: fmt.Sprint("r", rack), Capacity: graph.Demand{Accelerators: 8, Millicores: 64000},
+				},
 			})
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/netip"
+	"reflect"
 	"slices"
 	"sort"
 	"time"
@@ -14,15 +15,21 @@
 	// WorkerID identifies a worker.
 	WorkerID string
 
-	// Worker is the state of a worker that placement depends on.
-	Worker struct {
-		ID       WorkerID
+	// Attributes are what the list of workers says of a worker. A restart of the
+	// worker may change each of them.
+	Attributes struct {
 		Service  string
 		Address  netip.AddrPort
 		Domain   string
 		Rack     string
 		Labels   []string
 		Capacity graph.Demand
+	}
+
+	// Worker is the state of a worker that placement depends on.
+	Worker struct {
+		ID WorkerID
+		Attributes
 		// Occupied is the demand of all tasks that run or may run.
 		Occupied graph.Demand
 		// Stopping is the part of Occupied whose tasks have been ordered to stop.
@@ -87,10 +94,14 @@
 	p.addToRack(w)
 }
 
-// SetRack moves a worker of the pool to another rack.
-func (p *Pool) SetRack(w *Worker, rack string) {
+// SetAttributes replaces the attributes of a worker of the pool.
+func (p *Pool) SetAttributes(w *Worker, a Attributes) {
+	if a.Rack == w.Rack {
+		w.Attributes = a
+		return
+	}
 	p.removeFromRack(w)
-	w.Rack = rack
+	w.Attributes = a
 	p.addToRack(w)
 }
 
@@ -109,6 +120,9 @@
 	p.racks[w.Rack] = list
 }
 
+// Equal reports whether all attributes are equal.
+func (a Attributes) Equal(b Attributes) bool { return reflect.DeepEqual(a, b) }
+
 // Remove removes a worker. It ignores unknown workers.
 func (p *Pool) Remove(id WorkerID) {
 	w, ok := p.workers[id]
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -21,8 +21,8 @@
 	for r := range 2 {
 		for i := range 3 {
 			w := &Worker{
-				ID: WorkerID(fmt.Sprintf("w%d%d", r, i)), Service: "s", Rack: fmt.Sprintf("r%d", r), Labels: []string{"a"},
-				Capacity: gpus(8),
+				ID:         WorkerID(fmt.Sprintf("w%d%d", r, i)),
+				Attributes: Attributes{Service: "s", Rack: fmt.Sprintf("r%d", r), Labels: []string{"a"}, Capacity: gpus(8)},
 			}
 			if i == 0 {
 				w.Occupied = gpus(int64(3 + r))
@@ -156,7 +156,7 @@
 	p := New()
 	for i := range n {
 		p.Put(&Worker{
-			ID: WorkerID(fmt.Sprint(i)), Service: "s", Rack: fmt.Sprint(i / 8), Capacity: gpus(8),
+			ID: WorkerID(fmt.Sprint(i)), Attributes: Attributes{Service: "s", Rack: fmt.Sprint(i / 8), Capacity: gpus(8)},
 			Occupied: gpus(int64(i % 7)),
 		})
 	}
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -119,9 +119,8 @@
 // listEntry is the value of a row in the table of workers. Its format is private
 // to the harness.
 type listEntry struct {
-	Rack     string
+	pool.Attributes
 	Draining bool
-	Address  netip.AddrPort
 }
 
 func (h *harness) registerWorker(id pool.WorkerID, rack string, draining bool) {
@@ -129,7 +128,14 @@
 }
 
 func (h *harness) registerWorkerAt(id pool.WorkerID, rack string, draining bool, address netip.AddrPort) {
-	value, err := json.Marshal(listEntry{rack, draining, address})
+	h.registerEntry(id, listEntry{Draining: draining, Attributes: pool.Attributes{
+		Service: "render", Address: address, Domain: "d1", Rack: rack, Labels: []string{"a"},
+		Capacity: graph.Demand{Accelerators: workerAccelerators},
+	}})
+}
+
+func (h *harness) registerEntry(id pool.WorkerID, entry listEntry) {
+	value, err := json.Marshal(entry)
 	if err != nil {
 		h.t.Error(err)
 	}
@@ -138,15 +144,18 @@
 	}
 }
 
+func (h *harness) unregisterWorker(id pool.WorkerID) {
+	if _, err := h.table.Store().Commit(h.ctx, store.Txn{Deletes: []string{workerListTable + "/" + string(id)}}); err != nil {
+		h.t.Error(err)
+	}
+}
+
 func parseListEntry(row store.Row) (lead.ListedWorker, error) {
 	var l listEntry
 	if err := json.Unmarshal(row.Value, &l); err != nil {
 		return lead.ListedWorker{}, fmt.Errorf("entry: %w", err)
 	}
-	return lead.ListedWorker{Draining: l.Draining, Worker: pool.Worker{
-		ID: pool.WorkerID(store.RowName(row.Key)), Service: "render", Address: l.Address,
-		Domain: "d1", Rack: l.Rack, Labels: []string{"a"}, Capacity: graph.Demand{Accelerators: workerAccelerators},
-	}}, nil
+	return lead.ListedWorker{ID: pool.WorkerID(store.RowName(row.Key)), Attributes: l.Attributes, Draining: l.Draining}, nil
 }
 
 func config() *queues.Config {
@@ -159,6 +168,9 @@
 			Objective: time.Second,
 		})
 	}
+	audit := c.Queues[1]
+	audit.Name, audit.Prefix, audit.Service = "audit", "/audit/", "audit"
+	c.Queues = append(c.Queues, audit)
 	return c.BuildIndex()
 }
 
