Place units anew when the attributes of their workers change

Callers would see tasks start on a worker without the label or service that they require, or wait for ever: a unit that was placed before a worker's restart and not started yet kept the worker, although it had become another one.

Cause: an unstarted placement is given up only if its worker is closed. A worker that restarts within the time that its entry outlives stays open.

Evidence: TestPlacedOnFormerAttributes delays the transaction of the placement until after the restart.

--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -97,6 +97,16 @@
 	return stored
 }
 
+// stopUnstartedOn stops the unstarted placements on a worker whose attributes have
+// changed, since they were chosen by the former ones.
+func (t *term) stopUnstartedOn(w *worker) {
+	for p := range t.unstarted {
+		if slices.ContainsFunc(p.members, func(m *member) bool { return m.worker == w && !m.ended }) {
+			t.stopPlacement(p, "attributes")
+		}
+	}
+}
+
 // stopOnClosedWorkers stops unstarted placements on workers that have been closed
 // in the meantime.
 func (t *term) stopOnClosedWorkers() {
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -145,6 +145,7 @@
 	}
 	if !wasListed || !former.Equal(l.Attributes) {
 		t.updatePool(w)
+		t.stopUnstartedOn(w)
 	}
 	if l.Draining && !(wasListed && former.Draining) {
 		t.Log.Write(event.WorkerDrains, "worker", string(l.ID), "remaining", l.Remaining.String(), "runs", len(w.members))
--- a/internal/trial/restart_test.go
+++ b/internal/trial/restart_test.go
@@ -114,6 +114,17 @@
 	}}
 }
 
+// listWorkersBeforeRestart lists w1, w2 and restartedWorker with their attributes
+// before the restart, and waits for a leader.
+func (h *harness) listWorkersBeforeRestart() {
+	for _, w := range []pool.WorkerID{"w1", "w2", restartedWorker} {
+		h.registerEntry(w, entryOf(w))
+	}
+	h.workers.Crash("w4")
+	h.unregisterWorker("w4")
+	time.Sleep(2 * time.Second)
+}
+
 // bootAs starts the crashed restartedWorker with changed attributes.
 func (h *harness) bootAs(change func(*listEntry)) {
 	h.workers.Boot(restartedWorker)
@@ -148,13 +159,7 @@
 }
 
 func (c *attributeChange) play(h *harness, m restartMoment) {
-	for _, w := range []pool.WorkerID{"w1", "w2", restartedWorker} {
-		h.registerEntry(w, entryOf(w))
-	}
-	h.workers.Crash("w4")
-	h.unregisterWorker("w4")
-	time.Sleep(2 * time.Second)
-
+	h.listWorkersBeforeRestart()
 	call := func(f func(*harness)) {
 		if f != nil {
 			f(h)
@@ -204,3 +209,30 @@
 	assert.Equal(h.t, h.phase(c.formerJob.queue, "ks", formerJob), "completed")
 	assert.DeepEqual(h.t, h.check(), []string(nil))
 }
+
+// TestPlacedOnFormerAttributes guards against a start on a worker that was chosen by
+// the attributes that it had before its restart. The placement is stored only after
+// the restart.
+func TestPlacedOnFormerAttributes(t *testing.T) {
+	for _, c := range attributeChanges {
+		t.Run(c.name, func(t *testing.T) {
+			runHarness(t, func(h *harness) {
+				h.listWorkersBeforeRestart()
+				h.setHook(func(_ *link, s step) fault {
+					if s == stepCommit {
+						return fault{delay: restartTime + 500*time.Millisecond}
+					}
+					return fault{}
+				})
+				c.submit(h)
+				h.workers.Crash(restartedWorker)
+				time.Sleep(restartTime)
+				h.setHook(nil)
+				restartedAt := time.Now()
+				h.bootAs(c.change)
+				time.Sleep(30 * time.Second)
+				c.check(h, restartedAt, restartedAt)
+			})
+		})
+	}
+}
