Call a worker at once when its entry shows a restart

Cause: a new incarnation has seen no fencing token, and the leader learned of a restart only from the answers of a worker. An idle worker is not called. The entry in the list has the start of the incarnation, which was not read.

Fix: if the start time in an entry changes and differs from that of the last report, the worker is called. Its answer raises the fencing token, and the next call brings it to the worker, which refuses late orders from then on.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -208,7 +208,7 @@
 	a.mu.Lock()
 	a.listedAddress = address
 	a.mu.Unlock()
-	a.requestCall()
+	a.RequestReport()
 }
 
 // target returns the worker at its present address.
@@ -227,6 +227,18 @@
 	return errors.Is(err, ErrOtherIncarnation) && to.Address == a.answeredAddress
 }
 
+// RequestReport has the worker called at once for a report, and cancels a call that
+// waits for a run to end.
+func (a *Agent) RequestReport() {
+	a.mu.Lock()
+	a.callNow = true
+	if a.cancelHold != nil {
+		a.cancelHold()
+	}
+	a.mu.Unlock()
+	a.wakeLoop()
+}
+
 // SetExpectedRuns sets the number of runs that the scheduler expects on the
 // worker. Run calls the worker as long as it is positive.
 func (a *Agent) SetExpectedRuns(n int) {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -67,7 +67,7 @@
 	a.Log.Write(event.OrderUnsettled, "order", "start", "task", o.Task.String(), "run", o.Run,
 		"worker", string(a.Target.ID), "reason", reasonText(reason, lastErr))
 	if a.stop(ctx, o, reason) {
-		a.requestCall()
+		a.RequestReport()
 	}
 }
 
@@ -100,18 +100,6 @@
 	return !unanswered || reason == RefusedFence && fence == a.Fence()
 }
 
-// requestCall calls the worker at once for a report and cancels a call that
-// waits for a run to end.
-func (a *Agent) requestCall() {
-	a.mu.Lock()
-	a.callNow = true
-	if a.cancelHold != nil {
-		a.cancelHold()
-	}
-	a.mu.Unlock()
-	a.wakeLoop()
-}
-
 func (a *Agent) sendStart(ctx context.Context, o Order, fence int64) (Answer, error) {
 	a.mu.Lock()
 	until, clock := a.grantLease(time.Now()), a.workerClock
@@ -132,7 +120,7 @@
 	}
 	a.mu.Unlock()
 	if otherIncarnation {
-		a.requestCall()
+		a.RequestReport()
 	}
 	return answer, nil
 }
--- a/internal/fakes/taskworker.go
+++ b/internal/fakes/taskworker.go
@@ -130,6 +130,13 @@
 	ws.workers[id].boot()
 }
 
+// BootedAt returns the start of the worker's incarnation.
+func (ws *TaskWorkers) BootedAt(id pool.WorkerID) time.Time {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return ws.workers[id].bootedAt
+}
+
 // Refuse sets a function that returns the reason with which a worker refuses a
 // start order that it could execute, or an empty string to accept the order. The
 // function is called with the lock held.
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -127,7 +127,7 @@
 	if w.unreachable {
 		t.Log.Write(event.WorkerBack, "worker", string(w.info.ID))
 	}
-	w.answered, w.unreachable = true, false
+	w.answered, w.unreachable, w.incarnationStart = true, false, e.Report.IncarnationStart
 	w.lastReport = reportSummary{e.RequestedAt, len(e.Report.Running), len(e.Report.Ended)}
 	running := make(map[graph.TaskID]int64, len(e.Report.Running))
 	for _, r := range e.Report.Running {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -42,6 +42,9 @@
 	ListedWorker struct {
 		ID pool.WorkerID
 		pool.Attributes
+		// IncarnationStart is the start of the incarnation that has written the
+		// entry, zero if the list does not give it.
+		IncarnationStart time.Time
 		// Draining workers finish their runs and then leave.
 		Draining bool
 		// Remaining is the least time for which a draining worker stays. It is 0
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -49,8 +49,10 @@
 		// unreachable until all leases have expired.
 		unresolved bool
 		members    map[graph.TaskID]*member
-		// incarnation is the number of the worker's incarnation that reported last.
-		incarnation int64
+		// incarnation is the number of the worker's incarnation that reported last,
+		// and incarnationStart its start, zero before the first report.
+		incarnation      int64
+		incarnationStart time.Time
 		// failures counts the failed runs since the last successful one.
 		failures int
 		// quarantines counts the quarantines since the last successful run.
@@ -147,12 +149,23 @@
 		t.updatePool(w)
 		t.stopUnstartedOn(w)
 	}
+	if !l.IncarnationStart.Equal(former.IncarnationStart) && w.listedInOtherIncarnation() {
+		// The new incarnation has to see its fencing token before a late order to a
+		// former one arrives. An idle worker is not called otherwise.
+		w.agent.RequestReport()
+	}
 	if l.Draining && !(wasListed && former.Draining) {
 		t.Log.Write(event.WorkerDrains, "worker", string(l.ID), "remaining", l.Remaining.String(), "runs", len(w.members))
 	}
 	t.updateClosed(w)
 }
 
+// listedInOtherIncarnation reports whether the entry in the list is of another
+// incarnation than the last report.
+func (w *worker) listedInOtherIncarnation() bool {
+	return !w.info.IncarnationStart.IsZero() && !w.incarnationStart.IsZero() && !w.info.IncarnationStart.Equal(w.incarnationStart)
+}
+
 // changeAddress follows a change of the address of a worker. Its runs stay until an
 // incarnation of it has answered at the new address, or until their leases have
 // expired.
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -43,8 +43,10 @@
 		// instances.
 		detours bool
 
-		mu   sync.Mutex
-		jobs map[graph.ID]*graph.Job
+		mu sync.Mutex
+		// entries are the entries of the workers in the list.
+		entries map[pool.WorkerID]listEntry
+		jobs    map[graph.ID]*graph.Job
 		// durations has the durations of the tasks of some jobs.
 		durations      map[graph.ID]time.Duration
 		submitOutcomes map[graph.ID]accept.Outcome
@@ -89,6 +91,8 @@
 	workerListTable    = "servers"
 	instanceCount      = 3
 	workerAccelerators = 8
+	// heartbeat is the time between two writes of a worker's entry.
+	heartbeat = 1500 * time.Millisecond
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -97,6 +101,7 @@
 func newHarness(ctx context.Context, t *testing.T, detours bool) *harness {
 	h := &harness{
 		t: t, detours: detours, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
+		entries:        make(map[pool.WorkerID]listEntry),
 		submitOutcomes: make(map[graph.ID]accept.Outcome), cancelledAt: make(map[graph.ID]time.Time),
 		unknownAt:   make(map[graph.ID]time.Time),
 		finalPhases: make(map[graph.ID]finalPhase),
@@ -120,7 +125,8 @@
 // to the harness.
 type listEntry struct {
 	pool.Attributes
-	Draining bool
+	Draining         bool
+	IncarnationStart time.Time
 }
 
 func (h *harness) registerWorker(id pool.WorkerID, rack string, draining bool) {
@@ -134,17 +140,43 @@
 	}})
 }
 
+// registerEntry sets and writes the entry of a worker.
 func (h *harness) registerEntry(id pool.WorkerID, entry listEntry) {
+	h.mu.Lock()
+	h.entries[id] = entry
+	h.mu.Unlock()
+	h.writeEntry(id)
+}
+
+// writeEntry writes the entry of a worker, and does so again after a heartbeat if the
+// store is not available.
+func (h *harness) writeEntry(id pool.WorkerID) {
+	h.mu.Lock()
+	entry, listed := h.entries[id]
+	h.mu.Unlock()
+	if !listed || h.ctx.Err() != nil {
+		return
+	}
+	entry.IncarnationStart = h.workers.BootedAt(id)
 	value, err := json.Marshal(entry)
 	if err != nil {
 		h.t.Error(err)
 	}
 	if _, err := h.table.Store().Commit(h.ctx, store.Txn{Puts: []store.Put{{Key: workerListTable + "/" + string(id), Value: value}}}); err != nil {
-		h.t.Error(err)
+		time.AfterFunc(heartbeat, func() { h.writeEntry(id) })
 	}
 }
 
+// bootWorker restarts a crashed worker, which then writes its entry.
+func (h *harness) bootWorker(id pool.WorkerID) {
+	h.workers.Boot(id)
+	h.writeEntry(id)
+}
+
 func (h *harness) unregisterWorker(id pool.WorkerID) {
+	h.mu.Lock()
+	delete(h.entries, id)
+	h.mu.Unlock()
 	if _, err := h.table.Store().Commit(h.ctx, store.Txn{Deletes: []string{workerListTable + "/" + string(id)}}); err != nil {
 		h.t.Error(err)
 	}
@@ -155,7 +187,10 @@
 	if err := json.Unmarshal(row.Value, &l); err != nil {
 		return lead.ListedWorker{}, fmt.Errorf("entry: %w", err)
 	}
-	return lead.ListedWorker{ID: pool.WorkerID(store.RowName(row.Key)), Attributes: l.Attributes, Draining: l.Draining}, nil
+	return lead.ListedWorker{
+		ID: pool.WorkerID(store.RowName(row.Key)), Attributes: l.Attributes, Draining: l.Draining,
+		IncarnationStart: l.IncarnationStart,
+	}, nil
 }
 
 func config() *queues.Config {
--- a/internal/trial/matrix_test.go
+++ b/internal/trial/matrix_test.go
@@ -93,7 +93,7 @@
 		},
 		"workerReborn": func(h *harness, _ *link) fault {
 			h.workers.Crash("w1")
-			time.AfterFunc(700*time.Millisecond, func() { h.workers.Boot("w1") })
+			time.AfterFunc(700*time.Millisecond, func() { h.bootWorker("w1") })
 			return fault{}
 		},
 		"powerLoss": func(h *harness, _ *link) fault {
@@ -143,7 +143,7 @@
 			time.AfterFunc(lossDuration, func() {
 				// Another fault may have booted the worker in the meantime.
 				h.workers.Crash(id)
-				h.workers.Boot(id)
+				h.bootWorker(id)
 			})
 		}
 		if inst := h.leader(); inst != nil {
--- a/internal/trial/orders_test.go
+++ b/internal/trial/orders_test.go
@@ -14,12 +14,15 @@
 
 // delayFirstStart sets a hook that makes the first start order take effect after
 // the given delay, without an answer to its sender.
-func (h *harness) delayFirstStart(delay time.Duration) {
+func (h *harness) delayFirstStart(delay time.Duration) { h.delayFirst(stepStart, delay) }
+
+// delayFirst is like delayFirstStart for any step.
+func (h *harness) delayFirst(delayed step, delay time.Duration) {
 	done := false
 	h.setHook(func(_ *link, s step) fault {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		if s != stepStart || done {
+		if s != delayed || done {
 			return fault{}
 		}
 		done = true
@@ -69,7 +72,7 @@
 		h.registerWorker(runs[0].Worker, "r0", true)
 		h.workers.Crash(runs[0].Worker)
 		time.Sleep(500 * time.Millisecond)
-		h.workers.Boot(runs[0].Worker)
+		h.bootWorker(runs[0].Worker)
 		// The next incarnation answers the call in flight and none after it.
 		h.setHook(func(_ *link, s step) fault {
 			if s == stepContact || s == stepHold {
--- a/internal/trial/path_test.go
+++ b/internal/trial/path_test.go
@@ -367,7 +367,7 @@
 		time.Sleep(300 * time.Millisecond)
 		for _, id := range []pool.WorkerID{"w1", "w2", "w3", "w4"} {
 			h.workers.Crash(id)
-			h.workers.Boot(id)
+			h.bootWorker(id)
 		}
 		time.Sleep(700 * time.Millisecond)
 		h.leader().kill()
--- a/internal/trial/restart_test.go
+++ b/internal/trial/restart_test.go
@@ -135,7 +135,7 @@
 
 // occupyWorkers has tasks run on all workers.
 func (h *harness) occupyWorkers() {
-	h.submit(0, "urgent", "ks", busyJob, graph.Step{Count: 6, Demand: gpu(2), Estimate: time.Second})
+	h.submit(0, "normal", "ks", busyJob, graph.Step{Count: 6, Demand: gpu(2), Estimate: time.Second})
 	time.Sleep(200 * time.Millisecond)
 }
 
