Keep a restarted worker closed until its own entry is read

Callers would see tasks start on a worker without the label or service that they require: the restart of a busy worker is seen by its answers at once, but its entry in the list is up to a heartbeat older, or as old as an outage of the list.

Fix: a worker is closed to new tasks while its entry and its last report are of different incarnations.

--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -161,7 +161,7 @@
 }
 
 // listedInOtherIncarnation reports whether the entry in the list is of another
-// incarnation than the last report.
+// incarnation than the last report, so that the worker's attributes may be others.
 func (w *worker) listedInOtherIncarnation() bool {
 	return !w.info.IncarnationStart.IsZero() && !w.incarnationStart.IsZero() && !w.info.IncarnationStart.Equal(w.incarnationStart)
 }
@@ -210,7 +210,8 @@
 	if p == nil {
 		return
 	}
-	closed := !w.listed || w.info.Draining || !w.answered || w.unreachable || !w.rowStored || t.outOfService[w.info.Domain]
+	closed := !w.listed || w.info.Draining || !w.answered || w.unreachable || !w.rowStored ||
+		w.listedInOtherIncarnation() || t.outOfService[w.info.Domain]
 	if closed != p.Closed {
 		p.Closed = closed
 		t.pacer.changed = true
--- a/internal/trial/restart_test.go
+++ b/internal/trial/restart_test.go
@@ -236,3 +236,29 @@
 		})
 	}
 }
+
+// TestFormerEntryUsed guards against a start on a worker that has restarted and whose
+// entry is still the one from before, since the worker has not written it again.
+func TestFormerEntryUsed(t *testing.T) {
+	for _, c := range attributeChanges {
+		t.Run(c.name, func(t *testing.T) {
+			runHarness(t, func(h *harness) {
+				h.listWorkersBeforeRestart()
+				// The tasks of formerJob occupy the other workers beyond the restart.
+				h.durations = map[graph.ID]time.Duration{formerJob: 6 * time.Second}
+				c.submit(h)
+				time.Sleep(200 * time.Millisecond)
+				h.workers.Crash(restartedWorker)
+				time.Sleep(restartTime)
+				restartedAt := time.Now()
+				h.workers.Boot(restartedWorker)
+				time.Sleep(heartbeat)
+				e := entryOf(restartedWorker)
+				c.change(&e)
+				h.registerEntry(restartedWorker, e)
+				time.Sleep(30 * time.Second)
+				c.check(h, restartedAt, restartedAt.Add(heartbeat))
+			})
+		})
+	}
+}
