End the quarantine of a worker that has restarted

Callers would see a job wait for up to 30 s beside an idle worker, the only one of its kind, that had failed or stalled tasks before its restart.

Evidence: TestQuarantineOutlivesRestart fails without the change for failures and for stalls, and holds with it.

--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -141,6 +141,7 @@
 	w.agent.SetInDoubt(recheck)
 	if e.Incarnation > w.incarnation {
 		w.incarnation = e.Incarnation
+		t.forgetFailures(w)
 		t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members), "running", len(running))
 	}
 	if !e.Report.Partial {
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -337,5 +337,16 @@
 	t.Log.Write(event.WorkerBarred, "worker", string(w.info.ID), "reason", reason, "for", time.Until(until).String())
 }
 
+// forgetFailures ends the quarantine of a worker that has restarted: the failures and
+// stalls were those of a former incarnation.
+func (t *term) forgetFailures(w *worker) {
+	w.resetFailures()
+	w.suspected = false
+	if p := t.pool.Worker(w.info.ID); p != nil && !p.QuarantinedUntil.IsZero() {
+		p.QuarantinedUntil, p.Stalled = time.Time{}, false
+		t.pacer.changed = true
+	}
+}
+
 // resetFailures resets the counts after a successful run.
 func (w *worker) resetFailures() { w.failures, w.quarantines, w.stalledJobs = 0, 0, nil }
--- a/internal/lead/workers_test.go
+++ b/internal/lead/workers_test.go
@@ -181,3 +181,29 @@
 		l.goroutines.Wait()
 	})
 }
+
+// TestQuarantineOutlivesRestart guards against a worker that stays quarantined after a
+// restart, for up to 30 s, because of runs of a former incarnation.
+func TestQuarantineOutlivesRestart(t *testing.T) {
+	for _, reason := range []string{quarantinedForFailures, quarantinedForStalls} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			l := newListTerm(ctx)
+			l.applyWorkers(workerChanges{store.Changes{Rows: []store.Change{listChange(2, "10.0.0.1:80")}, Version: 2}, true})
+			l.applyEvents(t)
+			w, p := l.workers["w"], l.pool.Worker("w")
+			w.quarantines = 4
+			l.quarantine(w, time.Now(), reason)
+			assert.Assert(t, p.QuarantinedUntil.After(time.Now().Add(minQuarantine)))
+			report := agent.Event{Kind: agent.Reported, Agent: w.agent, Report: agent.Report{IncarnationStart: time.Unix(100, 0)}, At: time.Now()}
+			assert.NilError(t, l.applyAgent(report))
+			assert.Assert(t, !p.QuarantinedUntil.IsZero(), "ended by a report of the same incarnation")
+			report.Incarnation, report.Report.IncarnationStart = w.incarnation+1, time.Unix(200, 0)
+			assert.NilError(t, l.applyAgent(report))
+			assert.Assert(t, p.QuarantinedUntil.IsZero() && !p.Stalled)
+			assert.Equal(t, w.quarantines, 0)
+			cancel()
+			l.goroutines.Wait()
+		})
+	}
+}
