Judge a worker that fails tasks by what fails elsewhere

Cause: each failed run counted against its worker, whatever had failed, and only a task that is done reset the count. Tasks that last never are, and tasks that fail everywhere barred one worker after the other.

Fix: a step that has failed on two other workers is at fault itself, a failure of a task that was at work is none of its worker, at most a quarter of a service is quarantined for failures, and tasks that last use quarantined workers where there are no others.

--- a/internal/fakes/taskworker.go
+++ b/internal/fakes/taskworker.go
@@ -21,6 +21,12 @@
 		// Gang returns the size of the gang of a task, 0 if the task is not part
 		// of a gang. A nil function means that there are no gangs.
 		Gang func(graph.TaskID) int
+		// LongRunning reports whether a task is at work from its startup until it
+		// ends. A nil function means that no task is.
+		LongRunning func(graph.TaskID) bool
+		// Faulty reports whether all tasks fail on a worker. A nil function means
+		// that there are no such workers.
+		Faulty func(pool.WorkerID) bool
 
 		mu      sync.Mutex
 		refuse  func(pool.WorkerID, agent.Order) string
@@ -64,10 +70,12 @@
 		// AcknowledgedAt is the time of that acknowledgement.
 		AcknowledgedAt time.Time
 
-		lapsed    bool
-		duration  time.Duration
-		fails     bool
-		endNumber int64
+		lapsed   bool
+		duration time.Duration
+		fails    bool
+		// longRunning tasks are at work after startupTime.
+		longRunning bool
+		endNumber   int64
 		// workStart is when the task starts to work: at once, or for a gang when all
 		// members have started. It is zero before.
 		workStart time.Time
@@ -80,6 +88,8 @@
 	// figures of the platform.
 	stopDuration = 200 * time.Millisecond
 	gangTimeout  = 3 * time.Second
+	// startupTime is the time after which a task that lasts is at work.
+	startupTime = 300 * time.Millisecond
 	// advanceInterval is the time between two updates of the runs.
 	advanceInterval = 50 * time.Millisecond
 )
@@ -333,7 +343,11 @@
 
 func (w *TaskWorker) begin(o agent.Order, now time.Time) {
 	duration, fails := w.set.Work(o.Task)
-	r := &TaskRun{Task: o.Task, Run: o.Run, Worker: w.ID, Begun: now, duration: duration, fails: fails}
+	r := &TaskRun{
+		Task: o.Task, Run: o.Run, Worker: w.ID, Begun: now, duration: duration,
+		fails:       fails || w.set.Faulty != nil && w.set.Faulty(w.ID),
+		longRunning: w.set.LongRunning != nil && w.set.LongRunning(o.Task),
+	}
 	if w.set.gangSize(o.Task) == 0 {
 		r.workStart = now
 	}
@@ -435,5 +449,11 @@
 		return 0
 	}
 	const complete = 100
+	if r.longRunning {
+		if now.Sub(r.workStart) < startupTime {
+			return 0
+		}
+		return complete
+	}
 	return int(min(complete, complete*now.Sub(r.workStart)/r.duration))
 }
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -72,6 +72,7 @@
 	j := &job{
 		progress: p, placements: make(map[*placement]bool),
 		avoid:       make(map[stepKey]map[pool.WorkerID]bool),
+		failedOn:    make(map[stepKey]map[pool.WorkerID]bool),
 		preemptions: make(map[stepKey]int),
 		stalls:      make(map[unitKey]int),
 		lastRun:     (t.Epoch - 1) * runsPerEpoch,
@@ -105,6 +106,7 @@
 		return
 	}
 	maps.DeleteFunc(j.avoid, func(k stepKey, _ map[pool.WorkerID]bool) bool { return !j.progress.IsOpen(k.occurrence) })
+	maps.DeleteFunc(j.failedOn, func(k stepKey, _ map[pool.WorkerID]bool) bool { return !j.progress.IsOpen(k.occurrence) })
 	maps.DeleteFunc(j.preemptions, func(k stepKey, _ int) bool { return !j.progress.IsOpen(k.occurrence) })
 	maps.DeleteFunc(j.stalls, func(k unitKey, _ int) bool { return !j.progress.IsOpen(k.occurrence) })
 }
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -244,10 +244,9 @@
 	now := time.Now()
 	switch outcome {
 	case graph.Done:
-		m.worker.resetFailures()
+		t.countSuccess(m)
 	case graph.Failed:
-		t.countFailure(m.worker, now)
-		t.avoidForStep(p, m.worker)
+		t.countFailedRun(m, now)
 	}
 	t.Log.Write(event.TaskEnded, "task", m.task.String(), "run", p.run, "worker", string(m.worker.info.ID),
 		"how", string(outcome), "number", m.endNumber, "ran", p.elapsed(now).String(), "saved", saved != "")
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -89,6 +89,9 @@
 		// avoid lists the workers on which a step's tasks have failed, stalled or
 		// been refused.
 		avoid map[stepKey]map[pool.WorkerID]bool
+		// failedOn lists the workers on which tasks of a step have failed since the
+		// last success of one.
+		failedOn map[stepKey]map[pool.WorkerID]bool
 		// preemptions counts how often a step was stopped to free capacity for
 		// another unit.
 		preemptions map[stepKey]int
--- a/internal/lead/stall.go
+++ b/internal/lead/stall.go
@@ -36,8 +36,8 @@
 	// grows each time. One is enough if the task is known to advance elsewhere.
 	jobsToQuarantine = 2
 	// minWorkersPerQuarantine is the number of workers of a service for each that
-	// is quarantined for stalled tasks. If tasks stall on more of them, it is the
-	// tasks that are slow, and they find room on the other workers.
+	// is quarantined for stalled tasks, or for failures. If tasks stall on more of
+	// them, it is the tasks that are slow, and they find room on the other workers.
 	minWorkersPerQuarantine = 4
 )
 
@@ -126,16 +126,7 @@
 // maySpare reports whether w may be quarantined for stalled tasks beside the other
 // workers of its service that are.
 func (t *term) maySpare(w *worker, now time.Time) bool {
-	workers, quarantined := 0, 1
-	t.pool.Each(func(other *pool.Worker) {
-		if other.Service != w.info.Service {
-			return
-		}
-		workers++
-		if other.ID != w.info.ID && other.Stalled && now.Before(other.QuarantinedUntil) {
-			quarantined++
-		}
-	})
+	workers, quarantined := t.countQuarantined(w, now, func(p *pool.Worker) bool { return p.Stalled })
 	return quarantined*minWorkersPerQuarantine <= workers
 }
 
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -297,16 +297,6 @@
 	}
 }
 
-// countFailure counts a failed run of a worker, and quarantines the worker after
-// quarantineAfter of them.
-func (t *term) countFailure(w *worker, now time.Time) {
-	w.failures++
-	if w.failures < quarantineAfter {
-		return
-	}
-	t.quarantine(w, now, quarantinedForFailures)
-}
-
 // quarantine excludes a worker from new tasks for a while, which grows each time.
 func (t *term) quarantine(w *worker, now time.Time, reason string) {
 	p := t.pool.Worker(w.info.ID)
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -112,16 +112,17 @@
 		// spare has the accelerators that units without urgency may still use, by
 		// service. It is nil if there is no limit.
 		spare map[string]int64
-		// onlyStalled caches the answers of Pool.OnlyStalled.
-		onlyStalled map[workerKind]bool
+		// onlyQuarantined caches the answers of Pool.OnlyQuarantined.
+		onlyQuarantined map[workerKind]bool
 		// searches counts the searches for victims.
 		searches int
 	}
 
-	// workerKind is what a step requires of a worker whatever its capacity.
+	// workerKind is what decides whether a step may use a worker, whatever its capacity.
 	workerKind struct {
-		service string
-		label   string
+		service     string
+		label       string
+		longRunning bool
 	}
 
 	// noFitKey is what units that fit or do not fit together have in common.
@@ -179,7 +180,7 @@
 	return &round{
 		Policy: p, View: v, now: now, urgentUsed: v.countUrgentAccelerators(), noFit: make(map[noFitKey]bool),
 		taskCounts: make(map[stepKey]map[pool.WorkerID]int), decision: Decision{Waits: make(map[string]int)},
-		spare: p.SpareAccelerators(now, v), onlyStalled: make(map[workerKind]bool),
+		spare: p.SpareAccelerators(now, v), onlyQuarantined: make(map[workerKind]bool),
 	}
 }
 
@@ -260,21 +261,24 @@
 	if r.Avoid != nil {
 		req.Avoid = r.Avoid(u)
 	}
-	req.AllowStalled = r.allowStalled(req)
+	r.allowQuarantined(&req, s.LongRunning)
 	return req
 }
 
-// allowStalled reports whether the request may use workers that are quarantined for
-// stalled tasks: no other worker can run its tasks, which would wait in vain if they
-// are slow rather than stalled.
-func (r *round) allowStalled(req pool.Request) bool {
-	kind := workerKind{req.Service, req.Label}
-	only, known := r.onlyStalled[kind]
+// allowQuarantined permits quarantined workers if no other worker can run the tasks,
+// which would wait in vain if it is they who stall or fail. Tasks that do not last need
+// their attempts, so they wait for a worker on which others have failed.
+func (r *round) allowQuarantined(req *pool.Request, longRunning bool) {
+	req.AllowStalled, req.AllowFailing = true, longRunning
+	kind := workerKind{req.Service, req.Label, longRunning}
+	only, known := r.onlyQuarantined[kind]
 	if !known {
-		only = r.Pool.OnlyStalled(req)
-		r.onlyStalled[kind] = only
+		only = r.Pool.OnlyQuarantined(*req)
+		r.onlyQuarantined[kind] = only
+	}
+	if !only {
+		req.AllowStalled, req.AllowFailing = false, false
 	}
-	return only
 }
 
 func stepKeyOf(u graph.Unit) stepKey {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -74,8 +74,10 @@
 		// LocalOnly rules out workers outside DataRack, and more than one rack
 		// for a gang with SameRack.
 		LocalOnly bool
-		// AllowStalled permits workers that are quarantined for stalled tasks.
+		// AllowStalled permits workers that are quarantined for stalled tasks, and
+		// AllowFailing those that are for failed ones.
 		AllowStalled bool
+		AllowFailing bool
 		// Free returns the free capacity of a worker for this request. If it is
 		// nil, Worker.Free applies.
 		Free func(*Worker) graph.Demand
@@ -168,22 +170,31 @@
 // Usable reports whether the worker may get tasks of the request, whatever its
 // free capacity.
 func (w *Worker) Usable(r *Request) bool {
-	return !w.Closed && (r.AllowStalled && w.Stalled || !r.Now.Before(w.QuarantinedUntil)) && w.Serves(r)
+	return !w.Closed && w.Serves(r) && (!r.Now.Before(w.QuarantinedUntil) || r.allowsQuarantined(w))
 }
 
-// OnlyStalled reports whether all workers that would be usable for the request are
-// quarantined, some of them for stalled tasks.
-func (p *Pool) OnlyStalled(r Request) bool {
-	stalled := false
+// allowsQuarantined reports whether the request permits the worker if it is
+// quarantined.
+func (r *Request) allowsQuarantined(w *Worker) bool {
+	if w.Stalled {
+		return r.AllowStalled
+	}
+	return r.AllowFailing
+}
+
+// OnlyQuarantined reports whether all workers that would be usable for the request are
+// quarantined, and the request permits some of them.
+func (p *Pool) OnlyQuarantined(r Request) bool {
+	strict := r
+	strict.AllowStalled, strict.AllowFailing = false, false
+	permitted := false
 	for _, w := range p.workers {
-		r.AllowStalled = false
-		if w.Usable(&r) {
+		if w.Usable(&strict) {
 			return false
 		}
-		r.AllowStalled = true
-		stalled = stalled || w.Usable(&r)
+		permitted = permitted || w.Usable(&r)
 	}
-	return stalled
+	return permitted
 }
 
 // Serves reports whether the worker belongs to the request's service and has its
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -97,25 +97,28 @@
 	golden.Assert(t, b.String(), "choose.golden")
 }
 
-// TestOnlyStalled guards against tasks that wait for a worker that is quarantined for
+// TestOnlyQuarantined guards against tasks that wait for a worker that is quarantined for
 // stalled tasks although no other can run them, and against such a worker being used
 // beside others.
-func TestOnlyStalled(t *testing.T) {
+func TestOnlyQuarantined(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p, r := newTestPool(), Request{Now: now, Service: "s", Label: "b", Count: 1}
-	assert.Assert(t, !p.OnlyStalled(r), "no worker has the label")
+	p, r := newTestPool(), Request{Now: now, Service: "s", Label: "b", Count: 1, AllowStalled: true}
+	assert.Assert(t, !p.OnlyQuarantined(r), "no worker has the label")
 	w := p.Worker("w12")
 	w.Labels = []string{"b"}
-	assert.Assert(t, !p.OnlyStalled(r), "not quarantined")
+	assert.Assert(t, !p.OnlyQuarantined(r), "not quarantined")
 	w.QuarantinedUntil = now.Add(time.Second)
-	assert.Assert(t, !p.OnlyStalled(r), "quarantined for failures")
+	assert.Assert(t, !p.OnlyQuarantined(r), "quarantined for failures")
+	failing := r
+	failing.AllowFailing = true
+	assert.Assert(t, p.OnlyQuarantined(failing))
 	w.Stalled = true
-	assert.Assert(t, p.OnlyStalled(r))
+	assert.Assert(t, p.OnlyQuarantined(r))
 	w.Closed = true
-	assert.Assert(t, !p.OnlyStalled(r), "closed")
+	assert.Assert(t, !p.OnlyQuarantined(r), "closed")
 	w.Closed = false
 	p.Worker("w11").Labels = []string{"b"}
-	assert.Assert(t, !p.OnlyStalled(r), "another worker is usable")
+	assert.Assert(t, !p.OnlyQuarantined(r), "another worker is usable")
 }
 
 // TestChooseFits guards against placements that exceed the free capacity of a
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -48,7 +48,10 @@
 		entries map[pool.WorkerID]listEntry
 		jobs    map[graph.ID]*graph.Job
 		// durations has the durations of the tasks of some jobs.
-		durations      map[graph.ID]time.Duration
+		durations map[graph.ID]time.Duration
+		// failing are further jobs whose tasks fail.
+		failing        map[graph.ID]bool
+		submittedAt    map[graph.ID]time.Time
 		submitOutcomes map[graph.ID]accept.Outcome
 		cancelledAt    map[graph.ID]time.Time
 		// unknownAt has the times at which cancellations were answered that there is
@@ -101,7 +104,7 @@
 func newHarness(ctx context.Context, t *testing.T, detours bool) *harness {
 	h := &harness{
 		t: t, detours: detours, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
-		entries:        make(map[pool.WorkerID]listEntry),
+		entries: make(map[pool.WorkerID]listEntry), submittedAt: make(map[graph.ID]time.Time),
 		submitOutcomes: make(map[graph.ID]accept.Outcome), cancelledAt: make(map[graph.ID]time.Time),
 		unknownAt:   make(map[graph.ID]time.Time),
 		finalPhases: make(map[graph.ID]finalPhase),
@@ -389,9 +392,10 @@
 func (h *harness) taskOutcome(t graph.TaskID) (time.Duration, bool) {
 	h.mu.Lock()
 	duration, ok := h.durations[t.Job]
+	failing := h.failing[t.Job]
 	h.mu.Unlock()
 	if ok {
-		return duration, false
+		return duration, failing
 	}
 	return time.Second + time.Duration(t.Index%8)*200*time.Millisecond, strings.HasPrefix(string(t.Job), "f")
 }
@@ -415,7 +419,7 @@
 	id := j.ID
 	j.MaxAttempts = 3
 	h.mu.Lock()
-	h.jobs[id] = j
+	h.jobs[id], h.submittedAt[id] = j, time.Now()
 	h.mu.Unlock()
 	outcome := accept.Unknown
 	for try := 0; try < 8 && outcome == accept.Unknown; try++ {
