Run the tasks of a moved queue on its present service

Cause: the service was stored with the job and the queue never looked at again.

Fix: the leader takes the service of a job from its queue by the configuration in force.

--- a/internal/accept/service.go
+++ b/internal/accept/service.go
@@ -204,6 +204,7 @@
 	j, q := sub.job, sub.queue
 	j.ID = ID(q, sub.call.Path)
 	j.Queue, j.Workspace, j.Accepted = q.Name, sub.workspace, time.Now()
+	j.ConfigVersion = sub.config.Version
 	j.Service, j.Priority, j.MaxAttempts = q.Service, q.Priority, q.MaxAttempts
 	j.Slack, j.Objective = q.Slack, q.Objective
 	if err := j.Check(); err != nil {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,7 @@
 	JobOver        ID = 1006
 	JobShown       ID = 1007
 	JobAnswered    ID = 1008
+	JobRerouted    ID = 1009
 	RequestRouted  ID = 2001
 	RequestDone    ID = 2002
 	RequestNotRun  ID = 2003
@@ -115,6 +116,7 @@
 	{JobOver, "jobOver", "The end of a job is stored."},
 	{JobShown, "jobShown", "The leader starts to report a final state of a job; stored says whether the end is stored, age the time since the latest transaction was sent, 0s if the end is not stored and no transaction is in progress."},
 	{JobAnswered, "jobAnswered", "This instance reported a final state of a job to a caller for the first time; source says where the state comes from."},
+	{JobRerouted, "jobRerouted", "A version of the configuration gives the job's queue to another service, which runs the tasks that have not begun."},
 	{RequestRouted, "requestRouted", "A request was sent to an endpoint; reason says why this endpoint was chosen."},
 	{RequestDone, "requestDone", "A complete answer was returned to the caller."},
 	{RequestNotRun, "requestNotRun", "A request was refused and was not run."},
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -66,7 +66,12 @@
 		Interval time.Duration `json:"interval,omitempty"`
 		Accepted time.Time     `json:"accepted"`
 
-		// The settings of the queue at the time the job was accepted.
+		// The settings of the queue at the time the job was accepted, by the given
+		// version of the configuration. Rows written by earlier versions of the program
+		// do not have the version. The leader replaces the service if a later version
+		// gives the queue to another one.
+		ConfigVersion int64 `json:"configVersion,omitempty"`
+
 		Service     string        `json:"service"`
 		Priority    int           `json:"priority"`
 		MaxAttempts int           `json:"maxAttempts"`
--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -9,6 +9,7 @@
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/ledger"
 	"github.com/baobabquay/baobabquay/internal/pool"
+	"github.com/baobabquay/baobabquay/internal/queues"
 	"github.com/baobabquay/baobabquay/internal/store"
 )
 
@@ -78,11 +79,39 @@
 		lastRun:     (t.Epoch - 1) * runsPerEpoch,
 	}
 	t.jobs[spec.ID] = j
+	if c := t.Queues.Current(); c != nil {
+		t.followQueue(j, c)
+	}
 	t.Log.Write(event.JobSeen, "job", string(spec.ID), "queue", spec.Queue, "workspace", spec.Workspace,
 		"steps", len(spec.Steps), "age", time.Since(spec.Accepted).String())
 	return j
 }
 
+// followQueues has the tasks of all jobs that have not begun run by the services that
+// run their queues now.
+func (t *term) followQueues(c *queues.Config) {
+	if c.Version == t.queuesVersion {
+		return
+	}
+	t.queuesVersion = c.Version
+	for _, j := range t.jobs {
+		t.followQueue(j, c)
+	}
+}
+
+// followQueue replaces the service of a job if its queue is run by another one. The job
+// of a queue that has been removed keeps its service.
+func (t *term) followQueue(j *job, c *queues.Config) {
+	spec := j.progress.Job
+	q, ok := c.QueueNamed(spec.Queue)
+	if !ok || c.Version <= spec.ConfigVersion || q.Service == spec.Service {
+		return
+	}
+	t.Log.Write(event.JobRerouted, "job", string(spec.ID), "queue", spec.Queue, "former", spec.Service, "service", q.Service,
+		"version", c.Version)
+	spec.Service = q.Service
+}
+
 // isFinal reports whether p is the phase of a job that has ended.
 func isFinal(p graph.Phase) bool {
 	return p == graph.Completed || p == graph.FailedJob || p == graph.Cancelled
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -162,6 +162,7 @@
 		inherited map[graph.ID]bool
 
 		loadedVersion     int64 // version of the job table that load has read
+		queuesVersion     int64 // version of the configuration that the jobs follow
 		unresolvedWorkers int   // number of unresolved workers
 		// listRead reports whether the whole list of workers has been read.
 		listRead bool
@@ -438,6 +439,7 @@
 	if config == nil {
 		return
 	}
+	t.followQueues(config)
 	view := &plan.View{
 		Pool: t.pool, Waiting: t.readyUnits(), Guarantees: config.Guarantees(),
 		Avoid: t.avoidedWorkers, TaskCounts: t.tasksByWorker,
--- a/internal/lead/workers_test.go
+++ b/internal/lead/workers_test.go
@@ -14,6 +14,7 @@
 	"github.com/baobabquay/baobabquay/internal/event"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/pool"
+	"github.com/baobabquay/baobabquay/internal/queues"
 	"github.com/baobabquay/baobabquay/internal/store"
 	"gotest.tools/v3/assert"
 )
@@ -39,8 +40,10 @@
 		return agent.Report{Clock: time.Hour, IncarnationStart: time.Unix(100, 0)}, nil
 	}
 	l.term = &term{
-		Scheduler: New(Deps{Log: event.Discard(), Calls: agent.Calls{Hold: hold}, ReadWorker: readWorker}),
-		Term:      elect.Term{Epoch: 1, LastRenewal: time.Now}, ctx: ctx, startedAt: time.Now(), inbox: make(chan any, inboxSize),
+		Scheduler: New(Deps{
+			Log: event.Discard(), Calls: agent.Calls{Hold: hold}, ReadWorker: readWorker, Queues: queues.NewActiveConfig(event.Discard()),
+		}),
+		Term: elect.Term{Epoch: 1, LastRenewal: time.Now}, ctx: ctx, startedAt: time.Now(), inbox: make(chan any, inboxSize),
 		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), nextIncarnation: make(map[pool.WorkerID]int64),
 		pool: pool.New(), members: make(map[graph.TaskID]*member), unstarted: make(map[*placement]bool),
 		placements: make(map[*placement]bool),
--- a/internal/queues/config.go
+++ b/internal/queues/config.go
@@ -65,7 +65,8 @@
 		EncodedSize int
 		DecodeTime  time.Duration
 
-		byKey map[string]string // workspace name by key
+		byKey  map[string]string // workspace name by key
+		byName map[string]*Queue
 	}
 
 	// ActiveConfig holds the configuration in force and the failure domains
@@ -80,7 +81,7 @@
 	}
 )
 
-// BuildIndex builds the index of keys and returns c. It must be called once, before
+// BuildIndex builds the indexes of keys and of queues and returns c. It must be called once, before
 // the configuration is used.
 func (c *Config) BuildIndex() *Config {
 	c.byKey = make(map[string]string)
@@ -89,9 +90,19 @@
 			c.byKey[k] = c.Workspaces[i].Name
 		}
 	}
+	c.byName = make(map[string]*Queue, len(c.Queues))
+	for i := range c.Queues {
+		c.byName[c.Queues[i].Name] = &c.Queues[i]
+	}
 	return c
 }
 
+// QueueNamed returns the queue with the name, and whether there is one.
+func (c *Config) QueueNamed(name string) (*Queue, bool) {
+	q, ok := c.byName[name]
+	return q, ok
+}
+
 // Workspace returns the name of the workspace that has the key, and whether there
 // is one.
 func (c *Config) Workspace(key string) (string, bool) {
--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -44,6 +44,8 @@
 		detours bool
 
 		mu sync.Mutex
+		// config is the configuration in force.
+		config *queues.Config
 		// entries are the entries of the workers in the list.
 		entries map[pool.WorkerID]listEntry
 		jobs    map[graph.ID]*graph.Job
@@ -103,7 +105,7 @@
 // newHarness starts three instances, and four workers in two racks.
 func newHarness(ctx context.Context, t *testing.T, detours bool) *harness {
 	h := &harness{
-		t: t, detours: detours, ctx: ctx, table: fakes.NewTable(), jobs: make(map[graph.ID]*graph.Job),
+		t: t, detours: detours, ctx: ctx, table: fakes.NewTable(), config: config(), jobs: make(map[graph.ID]*graph.Job),
 		entries: make(map[pool.WorkerID]listEntry), submittedAt: make(map[graph.ID]time.Time),
 		submitOutcomes: make(map[graph.ID]accept.Outcome), cancelledAt: make(map[graph.ID]time.Time),
 		unknownAt:   make(map[graph.ID]time.Time),
@@ -212,6 +214,23 @@
 	return c.BuildIndex()
 }
 
+// configure has all instances use a version of the configuration in which the normal
+// queue is run by the given service, or does not exist if that is empty.
+func (h *harness) configure(version int64, service string) {
+	c := config()
+	c.Version = version
+	c.Queues[1].Service = service
+	if service == "" {
+		c.Queues = slices.Delete(c.Queues, 1, 2)
+	}
+	h.mu.Lock()
+	h.config = c.BuildIndex()
+	h.mu.Unlock()
+	for _, inst := range h.instances {
+		inst.current().activeConfig.Install(c)
+	}
+}
+
 // peer returns the address at which other instances reach the instance.
 func (inst *instance) peer() netip.AddrPort {
 	return netip.MustParseAddrPort("10.0.1." + strings.TrimPrefix(inst.name, "n") + ":80")
@@ -263,7 +282,10 @@
 	log := event.New(h.logger(fmt.Sprintf("%s.%d", inst.name, inst.starts)))
 	activeConfig := queues.NewActiveConfig(log)
 	inst.incarnation.activeConfig = activeConfig
-	activeConfig.Install(config())
+	h.mu.Lock()
+	c := h.config
+	h.mu.Unlock()
+	activeConfig.Install(c)
 	table, feed := inst.incarnation.link.table(h.table.Store()), inst.incarnation.link.feed(h.table.Feed())
 	inst.incarnation.table, inst.incarnation.feed = table, feed
 	if h.detours {
