Bound the wait for a rack beside an idle service

Cause: a unit waited for capacity near its data for 2.4 times its estimate, whatever the rest of the service did.

Fix: while nothing of its job runs and under half of the service is in use, a unit waits for 2 s. Otherwise waiting pays as before, and urgent units preempt near their data. TestDecide has the limits.

--- a/internal/lead/jobs.go
+++ b/internal/lead/jobs.go
@@ -71,7 +71,7 @@
 // registerJob adds a job to the term. Its occurrences are opened later, by openDue.
 func (t *term) registerJob(spec *graph.Job, p *graph.Progress) *job {
 	j := &job{
-		progress: p, placements: make(map[*placement]bool),
+		progress: p, placements: make(map[*placement]bool), idleSince: time.Now(),
 		avoid:       make(map[stepKey]map[pool.WorkerID]bool),
 		failedOn:    make(map[stepKey]map[pool.WorkerID]bool),
 		preemptions: make(map[stepKey]int),
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -285,6 +285,9 @@
 	delete(t.placements, p)
 	delete(t.unstarted, p)
 	delete(p.job.placements, p)
+	if len(p.job.placements) == 0 {
+		p.job.idleSince = time.Now()
+	}
 	p.Unit.SetBusy(false)
 	t.openDue(p.job, time.Now())
 	// Members of a gang may end after the end of their job was stored.
@@ -294,6 +297,19 @@
 	}
 }
 
+// idleSince returns the time since which nothing of the unit's job is placed, although
+// the unit is due, zero if something is.
+func (t *term) idleSince(u graph.Unit) time.Time {
+	j := t.jobs[u.Progress.Job.ID]
+	if len(j.placements) > 0 {
+		return time.Time{}
+	}
+	if due := u.Progress.Job.Due(u.Occurrence); due.After(j.idleSince) {
+		return due
+	}
+	return j.idleSince
+}
+
 // avoidForStep records that the step of p should avoid a worker.
 func (t *term) avoidForStep(p *placement, w *worker) {
 	key := stepKeyOf(p.Unit)
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -84,6 +84,8 @@
 		progress *graph.Progress
 		// placements is the set of its placements that have not ended.
 		placements map[*placement]bool
+		// idleSince is the time since which it has no placements.
+		idleSince time.Time
 		// nextDue is the instant of the next occurrence, zero if there is none.
 		nextDue time.Time
 		// avoid lists the workers on which a step's tasks have failed, stalled or
@@ -443,7 +445,7 @@
 	view := &plan.View{
 		Pool: t.pool, Waiting: t.readyUnits(), Guarantees: config.Guarantees(),
 		Avoid: t.avoidedWorkers, TaskCounts: t.tasksByWorker,
-		UrgentPeaks: t.urgentPeaks,
+		UrgentPeaks: t.urgentPeaks, IdleSince: t.idleSince,
 	}
 	for p := range t.placements {
 		view.Placements = append(view.Placements, &p.Placement)
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -36,6 +36,9 @@
 		// service. Each decision adds to it. If it is nil, no capacity is kept for
 		// urgent units.
 		UrgentPeaks map[string]*Peak
+		// IdleSince returns the time since which nothing of the unit's job runs, zero
+		// if something does. If it is nil, something does for all jobs.
+		IdleSince func(graph.Unit) time.Time
 		// TaskCounts returns, by worker, the number of tasks of the unit's step
 		// and occurrence.
 		TaskCounts func(graph.Unit) map[pool.WorkerID]int
@@ -114,6 +117,8 @@
 		spare map[string]int64
 		// onlyQuarantined caches the answers of Pool.OnlyQuarantined.
 		onlyQuarantined map[workerKind]bool
+		// underHalfUsed caches the answers of View.underHalfUsed by service.
+		underHalfUsed map[string]bool
 		// searches counts the searches for victims.
 		searches int
 	}
@@ -181,6 +186,7 @@
 		Policy: p, View: v, now: now, urgentUsed: v.countUrgentAccelerators(), noFit: make(map[noFitKey]bool),
 		taskCounts: make(map[stepKey]map[pool.WorkerID]int), decision: Decision{Waits: make(map[string]int)},
 		spare: p.SpareAccelerators(now, v), onlyQuarantined: make(map[workerKind]bool),
+		underHalfUsed: make(map[string]bool),
 	}
 }
 
@@ -207,7 +213,7 @@
 		return "headroom"
 	}
 	req := r.request(u)
-	req.LocalOnly = r.WaitsForLocality(r.now, u) && r.nearFeasible(req)
+	req.LocalOnly = r.waitsForLocality(u) && r.nearFeasible(req)
 	if chosen, near := r.Pool.Choose(req); chosen != nil {
 		r.start(u, chosen, near, "room")
 		return ""
@@ -288,7 +294,7 @@
 // noFitKeyOf returns the key of u. The occurrences of a step are equal, unless tasks of
 // the same occurrence count on a worker.
 func (r *round) noFitKeyOf(u graph.Unit) noFitKey {
-	key := noFitKey{stepKeyOf(u), r.WaitsForLocality(r.now, u)}
+	key := noFitKey{stepKeyOf(u), r.waitsForLocality(u)}
 	if u.Spec().MaxPerWorker == 0 {
 		key.occurrence = 0
 	}
--- a/internal/plan/decide_test.go
+++ b/internal/plan/decide_test.go
@@ -64,6 +64,18 @@
 	return p
 }
 
+// fillDataRack has a job fill the only open workers of a rack, and another one with its
+// data there wait.
+func fillDataRack(v *View, workers int) {
+	v.Pool.Worker("w11").Closed = workers < 2
+	for _, w := range []pool.WorkerID{"w10", "w11"}[:workers] {
+		addRunning(v, newUnit("r"+string(w), "a", 1, 0, gangStep(1, gpus(8))), time.Second, w)
+	}
+	v.Waiting = append(v.Waiting, newUnit("waits", "a", 1, 3*time.Second, graph.Step{
+		Count: 1, Demand: gpus(1), DataRack: "r1", Estimate: time.Minute,
+	}))
+}
+
 func formatDecision(d Decision) string {
 	var b strings.Builder
 	for _, s := range d.Stops {
@@ -111,6 +123,22 @@
 			s.DataRack = "r1"
 			v.Waiting = append(v.Waiting, newUnit("urgent", "a", 0, 0, s))
 		}},
+		{"full rack of the data in an idle service", func(v *View) {
+			fillDataRack(v, 1)
+			v.IdleSince = func(graph.Unit) time.Time { return testTime.Add(-maxIdleWait) }
+		}},
+		{"full rack of the data in a service that is not idle", func(v *View) {
+			fillDataRack(v, 2)
+			v.IdleSince = func(graph.Unit) time.Time { return testTime.Add(-maxIdleWait) }
+		}},
+		{"full rack of the data, short wait", func(v *View) {
+			fillDataRack(v, 1)
+			v.IdleSince = func(graph.Unit) time.Time { return testTime.Add(-maxIdleWait / 2) }
+		}},
+		{"full rack of the data, job at work", func(v *View) {
+			fillDataRack(v, 1)
+			v.IdleSince = func(graph.Unit) time.Time { return time.Time{} }
+		}},
 		{"victim with the least lost work", func(v *View) {
 			addRunning(v, newUnit("long", "b", 1, 0, gangStep(2, gpus(8))), 9*time.Second, "w00", "w01")
 			addRunning(v, newUnit("young", "b", 1, 0, gangStep(2, gpus(8))), time.Second, "w10", "w11")
