Count the bytes of worker rows in a transaction

No transaction would succeed any more, and each leader would end in turn, after some fourteen entries of other writers with texts of 60 KB, or one whose row is larger than the store takes. Seen by reading in the review.

Evidence: TestLargeWorkerRows fails before and holds now.

Fix: the rows of workers count towards the size of a transaction, and a worker whose row is too large is not stored, so it stays closed to tasks.

--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -119,7 +119,7 @@
 		if w.rowStored || w.rowPending || full {
 			continue
 		}
-		if full = c.freeRows() < 1; !full {
+		if full = c.freeRows() < 1 || c.bytes > maxBatchBytes; !full {
 			t.addWorkerRow(&c, w)
 		}
 	}
@@ -224,7 +224,13 @@
 		t.Log.Write(event.CommitFailed, "worker", string(w.info.ID), "reason", err.Error())
 		return
 	}
+	if len(value) > ledger.MaxValue {
+		// The worker stays closed to tasks.
+		t.Log.Write(event.CommitFailed, "worker", string(w.info.ID), "reason", fmt.Sprintf("row of %d bytes", len(value)))
+		return
+	}
 	w.rowPending, w.rowAddress = true, w.info.Address
+	c.bytes += len(value)
 	c.batch.Puts = append(c.batch.Puts, store.Put{Key: ledger.WorkerKey(string(w.info.ID)), Value: value})
 	c.workers = append(c.workers, w)
 }
--- a/internal/lead/commit_test.go
+++ b/internal/lead/commit_test.go
@@ -188,3 +188,41 @@
 		t.Logf("%s: %d transactions", c.name, transactions)
 	}
 }
+
+// TestLargeWorkerRows guards against a transaction beyond the size that the store takes,
+// or with a row that it does not take, because of entries with long texts, after which
+// no leader could store anything any more.
+func TestLargeWorkerRows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	text := func(bytes int) string {
+		b := make([]byte, bytes)
+		for i := range b {
+			b[i] = byte('a' + random.IntN(26))
+		}
+		return string(b)
+	}
+	const many = 40
+	leader := &term{
+		Scheduler: New(Deps{Log: event.New(logr.Discard())}), jobs: make(map[graph.ID]*job),
+		workers: make(map[pool.WorkerID]*worker), dirtySince: now,
+	}
+	for i := range many {
+		id := pool.WorkerID(fmt.Sprint("w", i))
+		leader.workers[id] = &worker{info: ListedWorker{ID: id, Attributes: pool.Attributes{Rack: text(60 << 10)}}}
+	}
+	leader.workers["huge"] = &worker{info: ListedWorker{ID: "huge", Attributes: pool.Attributes{Rack: text(200 << 10)}}}
+	stored := make(map[string]bool)
+	for batches := 0; !leader.dirtySince.IsZero(); batches++ {
+		assert.Assert(t, batches <= many, "a transaction stores nothing")
+		c := leader.collectCommit(now)
+		bytes := 0
+		for _, p := range c.batch.Puts {
+			assert.Assert(t, len(p.Value) <= ledger.MaxValue)
+			bytes += len(p.Value)
+			stored[p.Key] = true
+		}
+		assert.Assert(t, bytes <= maxBatchBytes+ledger.MaxValue, "%d bytes", bytes)
+	}
+	assert.Equal(t, len(stored), many)
+}
