Keep runs that are started while leases are found to have expired

A run could be given up and started elsewhere while it runs (TWICE): the event that all leases of a worker have expired was compared with the begin of the scheduler's turn, and the turn could begin before the event and send the start after it. Seen by reading in the review.

Evidence: TestStartCrossesLeaseEnd fails before and holds now.

Fix: the event is compared with an instant after the worker's agent has taken the start, which renews the leases under the same lock that finds them expired.

--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -32,6 +32,8 @@
 		worker    *worker
 		// startSent reports whether its start was sent to the worker.
 		startSent bool
+		// startedAt is an instant after the worker's agent has taken the start.
+		startedAt time.Time
 		// confirmedAt is the instant from which on the worker's reports must
 		// list the run, zero before the worker has answered.
 		confirmedAt time.Time
@@ -160,6 +162,7 @@
 		m.incarnation = m.worker.agent.Start(t.ctx, agent.Order{
 			Task: m.task, Run: p.run, Spec: p.job.progress.Job.Spec, Saved: p.job.progress.Saved(m.task),
 		})
+		m.startedAt = time.Now()
 	}
 	if !p.job.progress.Begun {
 		firstStartSeconds.Update(now.Sub(p.job.progress.Job.Due(p.Unit.Occurrence)).Seconds())
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -109,8 +109,8 @@
 		t.Log.Write(event.WorkerGone, "worker", string(w.info.ID), "runs", len(w.members), "reason", e.Reason)
 	}
 	for _, m := range w.members {
-		if m.startSent && m.placement.Since.After(e.At) {
-			// It was started while this event was in the inbox.
+		if m.startSent && m.startedAt.After(e.At) {
+			// It was started after the leases were found to have expired.
 			continue
 		}
 		t.logLost(w, m, "leases ended")
--- a/internal/lead/reports_test.go
+++ b/internal/lead/reports_test.go
@@ -33,7 +33,7 @@
 		delete(l.unstarted, p)
 		p.Since = time.Now()
 		for _, m := range p.members {
-			m.startSent, m.confirmedAt = true, time.Now()
+			m.startSent, m.startedAt, m.confirmedAt = true, time.Now(), time.Now()
 		}
 	}
 	time.Sleep(time.Second)
@@ -91,3 +91,28 @@
 		l.goroutines.Wait()
 	})
 }
+
+// TestStartCrossesLeaseEnd guards against a run that is given up because of leases that
+// expired while the decision was made that has started it: its start was sent after
+// that, and the worker accepts it.
+func TestStartCrossesLeaseEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := newListTerm(ctx)
+		l.Calls.Start = func(context.Context, agent.Target, agent.Order, agent.Clock, int64) (agent.Answer, error) {
+			return agent.Answer{}, nil
+		}
+		w, _ := l.placeTasks(t)
+		turn := time.Now()
+		time.Sleep(10 * time.Millisecond)
+		expired := time.Now()
+		time.Sleep(10 * time.Millisecond)
+		for p := range l.placements {
+			l.startPlacement(p, turn)
+		}
+		l.applyGone(w, agent.Event{Kind: agent.Gone, Agent: w.agent, Reason: "no answer", At: expired})
+		assert.Equal(t, len(w.members), 4, "number of live runs")
+		cancel()
+		l.goroutines.Wait()
+	})
+}
