Call a worker again whose last report is older than its entry

A worker could stay closed for good: if a report of its former incarnation is applied after the entry of the present one, the entries that follow do not change, and an idle worker is not called.

Evidence: TestClosedAfterLateReport fails without the change and holds with it. It also bounds the calls: an entry that is behind the reports causes none.

--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -149,9 +149,11 @@
 		t.updatePool(w)
 		t.stopUnstartedOn(w)
 	}
-	if !l.IncarnationStart.Equal(former.IncarnationStart) && w.listedInOtherIncarnation() {
+	if w.listedInOtherIncarnation() &&
+		(!l.IncarnationStart.Equal(former.IncarnationStart) || l.IncarnationStart.After(w.incarnationStart)) {
 		// The new incarnation has to see its fencing token before a late order to a
-		// former one arrives. An idle worker is not called otherwise.
+		// former one arrives. An idle worker is not called otherwise. Entries that are
+		// behind the reports cause no call.
 		w.agent.RequestReport()
 	}
 	if l.Draining && !(wasListed && former.Draining) {
--- a/internal/lead/workers_test.go
+++ b/internal/lead/workers_test.go
@@ -210,3 +210,38 @@
 		})
 	}
 }
+
+// TestClosedAfterLateReport guards against a worker that stays closed because a report of
+// a former incarnation is applied after the entry of the next one, and against a call for
+// each entry that is behind the reports.
+func TestClosedAfterLateReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := newListTerm(ctx)
+		present, former := time.Unix(100, 0), time.Unix(50, 0)
+		entry := ListedWorker{ID: "w", Attributes: pool.Attributes{Address: netip.MustParseAddrPort("10.0.0.1:80")}, IncarnationStart: present}
+		l.applyListed(entry)
+		l.applyEvents(t)
+		w, p := l.workers["w"], l.pool.Worker("w")
+		w.rowStored = true
+		report := func(start time.Time) {
+			e := agent.Event{Kind: agent.Reported, Agent: w.agent, Report: agent.Report{IncarnationStart: start}, At: time.Now()}
+			assert.NilError(t, l.applyAgent(e))
+		}
+		report(former)
+		assert.Assert(t, p.Closed)
+		l.applyListed(entry)
+		l.applyEvents(t)
+		assert.Assert(t, !p.Closed, "not called when its entry is written again")
+
+		report(time.Unix(200, 0))
+		assert.Assert(t, p.Closed)
+		for range 3 {
+			l.applyListed(entry)
+			l.applyEvents(t)
+			assert.Assert(t, p.Closed, "called because of an entry that is behind")
+		}
+		cancel()
+		l.goroutines.Wait()
+	})
+}
