--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -156,7 +156,7 @@
 		// behind the reports cause no call.
 		w.agent.RequestReport()
 	}
-	if l.Draining && !(wasListed && former.Draining) {
+	if l.Draining && (!wasListed || !former.Draining) {
 		t.Log.Write(event.WorkerDrains, "worker", string(l.ID), "remaining", l.Remaining.String(), "runs", len(w.members))
 	}
 	t.updateClosed(w)
