--- a/internal/lead/failure.go
+++ b/internal/lead/failure.go
@@ -9,8 +9,9 @@
 // A run fails because of its worker or of itself. A worker is judged by the tasks that
 // run elsewhere, so that tasks that fail everywhere do not take the workers from others.
 
-// maxFailingWorkers is the number of workers on which tasks of a step fail, without a
-// success between them, from which on the step is at fault.
+// maxFailingWorkers is the largest number of workers that count as failing when tasks
+// of one step fail there without a success between them. If they fail on more, the step
+// is at fault.
 const maxFailingWorkers = 2
 
 // countFailedRun counts the failure of a run.
