--- a/internal/lead/failure.go
+++ b/internal/lead/failure.go
@@ -19,8 +19,8 @@
 	p := m.placement
 	t.avoidForStep(p, m.worker)
 	if p.Unit.Spec().LongRunning && m.percent >= fullPercent {
-		// Tasks that last may fail at any time. This one was at work, as on a sound
-		// worker.
+		// Long-running tasks may fail at any time. This one was at work, so the worker
+		// is sound.
 		t.countSuccess(m)
 		return
 	}
--- a/internal/plan/decide.go
+++ b/internal/plan/decide.go
@@ -272,8 +272,9 @@
 }
 
 // allowQuarantined permits quarantined workers if no other worker can run the tasks,
-// which would wait in vain if it is they who stall or fail. Tasks that do not last need
-// their attempts, so they wait for a worker on which others have failed.
+// which would wait in vain if the tasks are at fault rather than the workers. Workers
+// that are quarantined for failures are permitted to long-running tasks only, since
+// other tasks have a limited number of attempts.
 func (r *round) allowQuarantined(req *pool.Request, longRunning bool) {
 	req.AllowStalled, req.AllowFailing = true, longRunning
 	kind := workerKind{req.Service, req.Label, longRunning}
--- a/internal/trial/failing_test.go
+++ b/internal/trial/failing_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// serviceJob has tasks that last and fail from time to time.
+// serviceJob has long-running tasks that fail from time to time.
 const serviceJob graph.ID = "4444444444444444"
 
 // checkGaps checks that no task of serviceJob is down for maxWait until now.
