Let the trial of a late acknowledgement fail without its guard

Cause: the cases of TestLateOrderAfterIdleRestart with an acknowledgement could not fail. The acknowledgement was sent before the time in which it was delayed, the worker got no task afterwards, and the stand-in listed ends up to the acknowledged number, which the platform's workers forget.

Change: the delay begins earlier, the second job uses all workers, and the stand-in forgets those ends.

--- a/internal/fakes/taskworker.go
+++ b/internal/fakes/taskworker.go
@@ -88,7 +88,7 @@
 	// figures of the platform.
 	stopDuration = 200 * time.Millisecond
 	gangTimeout  = 3 * time.Second
-	// startupTime is the time after which a task that lasts is at work.
+	// startupTime is the time after which a long-running task is at work.
 	startupTime = 300 * time.Millisecond
 	// advanceInterval is the time between two updates of the runs.
 	advanceInterval = 50 * time.Millisecond
@@ -280,7 +280,9 @@
 	r.Ended, r.Outcome = now, outcome
 	w.lastNumber++
 	r.endNumber = w.lastNumber
-	w.unacknowledged = append(w.unacknowledged, agent.RunEnd{Number: w.lastNumber, Task: r.Task, Run: r.Run, Outcome: outcome})
+	if w.lastNumber > w.acknowledged {
+		w.unacknowledged = append(w.unacknowledged, agent.RunEnd{Number: w.lastNumber, Task: r.Task, Run: r.Run, Outcome: outcome})
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/internal/trial/lateorders_test.go
+++ b/internal/trial/lateorders_test.go
@@ -26,7 +26,7 @@
 		{"gangStart", func(h *harness) { h.delayFirst(stepStart, delay) }, gang},
 		{"acknowledgement", func(h *harness) {
 			// The task ends after 1 s.
-			from := time.Now().Add(1200 * time.Millisecond)
+			from := time.Now().Add(900 * time.Millisecond)
 			h.setHook(func(_ *link, s step) fault {
 				if s == stepHold && time.Now().After(from) && time.Now().Before(from.Add(time.Second)) {
 					return fault{effectDelay: delay}
@@ -75,7 +75,7 @@
 					})
 					time.Sleep(delay)
 					assert.Equal(t, len(h.workers.Runs()), len(runs), "a task runs again: %+v", h.workers.Runs())
-					h.submit(1, "normal", "ks", gangJob, graph.Step{Count: 16, Demand: gpu(1), Estimate: time.Second})
+					h.submit(1, "normal", "ks", gangJob, graph.Step{Count: 32, Demand: gpu(1), Estimate: time.Second})
 					time.Sleep(5 * time.Second)
 					for _, id := range []graph.ID{batchJob, gangJob} {
 						assert.Equal(t, h.phase("normal", "ks", id), "completed", "job %s", id)
