--- /dev/null
+++ b/review/stand2/cases.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// jobID returns the identifier of the n-th job of a kind.
+func jobID(kind, n int) string { return fmt.Sprintf("%08x%08x", kind, n) }
+
+// guaranteeCase checks RECLAIM: tenant north has 64 accelerators guaranteed and needs 8
+// of them, while tenant south has come to use the whole site for tasks that last.
+func guaranteeCase(s *site, trouble bool) bool {
+	const (
+		reclaim = 2700 * time.Millisecond
+		shown   = 30 * time.Second
+		usual   = 5
+		burst   = 14 // 2.8 times the usual number
+		tasks   = 4
+	)
+	jobs := usual
+	if trouble {
+		jobs = burst
+	}
+	lasting := job{Spec: "lasting", Steps: []step{{
+		capacity: capacity{CPU: 8000, MemoryMB: 32768, GPU: 8}, Count: tasks, LongRunning: true, MayMiss: 1,
+	}}}
+	for i := range jobs {
+		s.submit(s.instances[i%len(s.instances)], "key-south", "/plain/", jobID(1, i), lasting)
+	}
+	full := min(jobs*tasks, len(s.runners))
+	s.await(fmt.Sprintf("%d tasks of south are at work", full), 15*time.Second, func() bool {
+		n := 0
+		for i := range jobs {
+			n += s.atWork(jobID(1, i))
+		}
+		return n == full
+	})
+	time.Sleep(2 * time.Second)
+	id := jobID(2, 0)
+	s.submit(s.instances[0], "key-north", "/urgent/", id, job{Spec: "work 2500", Steps: []step{{
+		capacity: capacity{CPU: 8000, MemoryMB: 32768, GPU: 8}, Count: 1, EstimateMS: 2500,
+	}}})
+	acked := time.Now()
+	for s.startsOf(id) == 0 && time.Since(acked) < shown {
+		time.Sleep(20 * time.Millisecond)
+	}
+	took := time.Since(acked)
+	s.note("case", "job %s of north: %d starts %.1f s after its ack", id, s.startsOf(id), took.Seconds())
+	for i := range jobs {
+		s.note("case", "job %s of south, which may miss 1 task: %d of %d at work", jobID(1, i), s.atWork(jobID(1, i)), tasks)
+	}
+	s.call(s.instances[1], http.MethodGet, "key-north", "/urgent/"+id, nil)
+	return took <= reclaim
+}
+
+// waitingCase checks MIXED: the number of waiting jobs of a queue. Three jobs can only
+// run on the runners of one rack, which has just been lost.
+func waitingCase(s *site, trouble bool) bool {
+	const (
+		rack    = "r1-1"
+		jobs    = 3
+		visible = 3 * time.Second
+		margin  = 2 * time.Second
+	)
+	if trouble {
+		for _, r := range s.runners {
+			if r.labels[1] == rack {
+				r.crash()
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for i := range jobs {
+		s.submit(s.instances[i], "key-south", "/plain/", jobID(3, i), job{Spec: "work 2500", Steps: []step{{
+			capacity: capacity{CPU: 8000, MemoryMB: 32768, GPU: 8}, Count: 1, EstimateMS: 2500, Requires: rack,
+		}}})
+	}
+	held := true
+	for acked := time.Now(); time.Since(acked) < 20*time.Second; time.Sleep(time.Second) {
+		waiting := 0
+		for i := range jobs {
+			if s.startsOf(jobID(3, i)) == 0 {
+				waiting++
+			}
+		}
+		late := time.Since(acked) > visible+margin
+		for _, in := range s.instances[:2] {
+			status, body := s.call(in, http.MethodGet, "key-south", "/plain/", nil)
+			var answer struct{ Waiting *int }
+			if status != http.StatusOK || json.Unmarshal(body, &answer) != nil || answer.Waiting == nil {
+				continue
+			}
+			if late && 2**answer.Waiting < waiting {
+				s.note("case", "%d jobs have not begun, %s gives %d as waiting", waiting, in.name, *answer.Waiting)
+				held = false
+			}
+		}
+	}
+	return held
+}
+
+// lastingCase checks LOST for a task that lasts: the runner of one of eight tasks is lost
+// for good. Their data is on a rack whose other runners are taken, and five other racks
+// are idle.
+func lastingCase(s *site, trouble bool) bool {
+	const (
+		rack  = "r1-1"
+		tasks = runnersPerRack
+		shown = 40 * time.Second
+		// A task may be away for lastRun after its last run, and for idle beyond that.
+		lastRun = 6 * time.Second
+		idle    = 3 * time.Second
+	)
+	id := jobID(4, 0)
+	s.submit(s.instances[0], "key-south", "/plain/", id, job{Spec: "lasting", Steps: []step{{
+		capacity: capacity{CPU: 8000, MemoryMB: 32768, GPU: 8}, Count: tasks, LongRunning: true, Affinity: rack, EstimateMS: 600_000,
+	}}})
+	s.await("all tasks are at work", 15*time.Second, func() bool { return s.atWork(id) == tasks })
+	time.Sleep(4 * time.Second)
+	if trouble {
+		for _, r := range s.runners {
+			if r.atWork(id) > 0 {
+				r.crash()
+				break
+			}
+		}
+	}
+	crashed, held := time.Now(), true
+	for time.Since(crashed) < shown {
+		away := tasks - s.atWork(id)
+		if away > 0 && held && time.Since(crashed) > lastRun+idle {
+			s.note("case", "%d task does not run, %d of %d runners are idle", away, s.idleRunners(), len(s.runners))
+			held = false
+		}
+		if away == 0 && (!trouble || time.Since(crashed) > lastRun) && !held {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.note("case", "%d of %d tasks run, %d runners are idle, %.1f s after", s.atWork(id), tasks, s.idleRunners(), time.Since(crashed).Seconds())
+	return held
+}
--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,45 @@
+// Command stand2 plays one case of the second review against the program. It starts a
+// small deployment on loopback, brings the disruption of the case, unless the
+// environment variable TROUBLE is 0, and checks the rule of the case.
+//
+// Usage, from the root of the repository:
+//
+//	target/stand2 CASE RECORD
+//
+// The exit code is 1 if the rule was broken, 0 if it held and 2 if the case could not
+// run.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+const (
+	exitHeld = iota
+	exitBroken
+	exitNotRun
+)
+
+// cases has the cases by name. Each reports whether the rule held.
+var cases = map[string]func(s *site, trouble bool) bool{
+	"guarantee": guaranteeCase,
+	"waiting":   waitingCase,
+	"lasting":   lastingCase,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE RECORD")
+		os.Exit(exitNotRun)
+	}
+	s := newSite(os.Args[2])
+	held := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
+	s.stop()
+	if !held {
+		fmt.Println("the rule was broken")
+		os.Exit(exitBroken)
+	}
+	fmt.Println("the rule held")
+	os.Exit(exitHeld)
+}
--- /dev/null
+++ b/review/stand2/runner.go
@@ -0,0 +1,321 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type (
+	// capacity is the capacity of a runner or the demand of a task.
+	capacity struct {
+		CPU      int64 `json:"cpu,omitempty"`
+		MemoryMB int64 `json:"mem_mb,omitempty"`
+		GPU      int64 `json:"gpu,omitempty"`
+	}
+
+	// runner is a stand-in for one life of a runner. It runs single tasks, which take
+	// as long as their spec says, and guards its capacity.
+	runner struct {
+		site    *site
+		id      string
+		zone    string
+		labels  []string
+		room    capacity
+		address string
+		born    time.Time
+		server  *http.Server
+
+		mu       sync.Mutex
+		down     bool
+		draining bool
+		fence    int64
+		leaseEnd int64
+		runs     map[string]*run
+		// last is the highest run of each task that was stopped or has ended.
+		last map[string]int64
+		// ends are those that are not acknowledged, and ended counts all of them.
+		ends    []end
+		ended   int64
+		changed chan struct{}
+	}
+
+	// run is a task at work. A lasting one has no end of its own.
+	run struct {
+		number  int64
+		needs   capacity
+		begun   time.Time
+		work    time.Duration
+		lasting bool
+		// stopping is set once a stop was ordered.
+		stopping bool
+	}
+
+	end struct {
+		number int64
+		task   string
+		run    int64
+		how    string
+	}
+
+	order struct {
+		Task       string `json:"task"`
+		Run        int64  `json:"run"`
+		Spec       string `json:"spec"`
+		DeadlineMS int64  `json:"deadline_ms"`
+		Fence      int64  `json:"fencing_token"`
+		AckCursor  int64  `json:"ack_cursor"`
+		WaitMS     int64  `json:"wait_ms"`
+	}
+)
+
+const (
+	heartbeat = 1500 * time.Millisecond
+	// silenceBeats is the number of heartbeats after which a silent runner is removed
+	// from the list.
+	silenceBeats = 3
+	// startup is the time after which a lasting task is at work, and stopTime that of a
+	// stop, of stop_ms at most.
+	startup  = 300 * time.Millisecond
+	stopTime = 100 * time.Millisecond
+	tick     = 10 * time.Millisecond
+	maxWait  = 2000
+	maxEnds  = 500
+)
+
+// startRunner starts a runner and registers it.
+func startRunner(s *site, id, zone string, labels []string, room capacity) *runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.check(err)
+	r := &runner{
+		site: s, id: id, zone: zone, labels: labels, room: room, address: l.Addr().String(), born: time.Now(),
+		runs: make(map[string]*run), last: make(map[string]int64), changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/run-start", r.serve(r.start))
+	mux.HandleFunc("POST /v1/run-stop", r.serve(r.stop))
+	mux.HandleFunc("POST /v1/hold", r.serve(r.hold))
+	r.server = &http.Server{Handler: mux}
+	go func() { _ = r.server.Serve(l) }()
+	go r.live()
+	return r
+}
+
+// register writes the entry of the runner into the list.
+func (r *runner) register(seq int) {
+	phase := "ready"
+	if r.draining {
+		phase = "draining"
+	}
+	r.site.store.put("servers", r.id, map[string]any{
+		"service": service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "phase": phase,
+		"cold_left_ms": 0, "seq": seq, "capacity": r.room, "labels": r.labels, "born": r.born.UnixMilli(),
+	})
+}
+
+// live sends heartbeats and advances the runs until the runner crashes. The platform
+// then removes its entry after some silence.
+func (r *runner) live() {
+	next := time.Now()
+	for seq := 0; ; {
+		r.mu.Lock()
+		if r.down {
+			r.mu.Unlock()
+			time.Sleep(silenceBeats * heartbeat)
+			r.site.store.remove("servers", r.id)
+			r.site.note("platform", "removes the silent runner %s from the list", r.id)
+			return
+		}
+		r.advance()
+		r.mu.Unlock()
+		if !time.Now().Before(next) {
+			seq++
+			next = next.Add(heartbeat)
+			r.register(seq)
+		}
+		time.Sleep(tick)
+	}
+}
+
+// crash ends the process of the runner for good: its port is closed and its runs are
+// gone.
+func (r *runner) crash() {
+	r.mu.Lock()
+	r.down = true
+	tasks := len(r.runs)
+	r.runs = make(map[string]*run)
+	r.mu.Unlock()
+	_ = r.server.Close()
+	r.site.note("runner "+r.id, "crashes with %d runs", tasks)
+}
+
+// clock returns the runner's clock in milliseconds.
+func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() + 1000 }
+
+// advance ends the runs whose work is done or whose lease has expired. The caller holds
+// mu.
+func (r *runner) advance() {
+	for task, x := range r.runs {
+		switch {
+		case r.clock() > r.leaseEnd:
+			r.end(task, x, "lapsed")
+		case !x.lasting && time.Since(x.begun) >= x.work:
+			r.end(task, x, "done")
+		}
+	}
+}
+
+// end lists the end of a run. The caller holds mu.
+func (r *runner) end(task string, x *run, how string) {
+	delete(r.runs, task)
+	r.last[task] = max(r.last[task], x.number)
+	r.ended++
+	r.ends = append(r.ends, end{r.ended, task, x.number, how})
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.site.note("runner "+r.id, "task %s run %d ends %s", task, x.number, how)
+}
+
+// serve decodes an order and checks the intended runner and the fencing token.
+func (r *runner) serve(f func(context.Context, *order) (int, map[string]any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if to := q.Header.Get("X-Baobabquay-Expect-Instance"); to != "" && to != r.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		var o order
+		if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+			writeJSON(w, http.StatusBadRequest, map[string]any{"clock_ms": r.clock()})
+			return
+		}
+		r.mu.Lock()
+		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+		if o.Fence >= r.fence {
+			r.fence = o.Fence
+			status, body = f(q.Context(), &o)
+		}
+		body["clock_ms"], body["born"] = r.clock(), r.born.UnixMilli()
+		r.mu.Unlock()
+		writeJSON(w, status, body)
+	}
+}
+
+// extend extends the leases. The caller holds mu.
+func (r *runner) extend(deadlineMS int64) {
+	r.leaseEnd = max(r.leaseEnd, min(deadlineMS, r.clock()+holdMaxMS))
+}
+
+// start starts a run. The caller holds mu.
+func (r *runner) start(_ context.Context, o *order) (int, map[string]any) {
+	refuse := func(reason string) (int, map[string]any) {
+		r.site.note("runner "+r.id, "refuses the start of task %s run %d: %s", o.Task, o.Run, reason)
+		return http.StatusConflict, map[string]any{"reason": reason}
+	}
+	r.advance()
+	if o.DeadlineMS <= r.clock() {
+		return refuse("late")
+	}
+	r.extend(o.DeadlineMS)
+	if x := r.runs[o.Task]; x != nil && x.number == o.Run {
+		return http.StatusOK, map[string]any{}
+	} else if x != nil || r.last[o.Task] >= o.Run {
+		return refuse("old")
+	}
+	x := &run{number: o.Run, needs: r.site.needs(o.Task), begun: time.Now(), lasting: o.Spec == "lasting"}
+	if ms, ok := strings.CutPrefix(o.Spec, "work "); ok {
+		n, err := strconv.Atoi(ms)
+		r.site.check(err)
+		x.work = time.Duration(n) * time.Millisecond
+	}
+	if !r.fits(x.needs) {
+		return refuse("room")
+	}
+	r.runs[o.Task] = x
+	r.site.noteStart(r, o.Task, o.Run)
+	return http.StatusOK, map[string]any{}
+}
+
+// fits reports whether a further task fits. The caller holds mu.
+func (r *runner) fits(needs capacity) bool {
+	used := needs
+	for _, x := range r.runs {
+		used = capacity{used.CPU + x.needs.CPU, used.MemoryMB + x.needs.MemoryMB, used.GPU + x.needs.GPU}
+	}
+	return used.CPU <= r.room.CPU && used.MemoryMB <= r.room.MemoryMB && used.GPU <= r.room.GPU
+}
+
+// stop stops a run. The caller holds mu.
+func (r *runner) stop(_ context.Context, o *order) (int, map[string]any) {
+	r.last[o.Task] = max(r.last[o.Task], o.Run)
+	x := r.runs[o.Task]
+	if x == nil || x.number != o.Run || x.stopping {
+		return http.StatusOK, map[string]any{}
+	}
+	x.stopping = true
+	r.site.note("runner "+r.id, "is told to stop task %s run %d", o.Task, o.Run)
+	time.AfterFunc(stopTime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.runs[o.Task] == x {
+			r.end(o.Task, x, "stopped")
+		}
+	})
+	return http.StatusOK, map[string]any{}
+}
+
+// hold extends the leases, forgets acknowledged ends and waits for an end. The caller
+// holds mu.
+func (r *runner) hold(ctx context.Context, o *order) (int, map[string]any) {
+	r.extend(o.DeadlineMS)
+	for len(r.ends) > 0 && r.ends[0].number <= o.AckCursor {
+		r.ends = r.ends[1:]
+	}
+	timeout := time.After(time.Duration(min(o.WaitMS, maxWait)) * time.Millisecond)
+	for waiting := o.WaitMS > 0; waiting && len(r.ends) == 0; {
+		changed := r.changed
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+		r.mu.Lock()
+	}
+	running, finished := [][]any{}, [][]any{}
+	for task, x := range r.runs {
+		running = append(running, []any{task, x.number, "", x.percent(), 0})
+	}
+	for _, e := range r.ends[:min(len(r.ends), maxEnds)] {
+		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	return http.StatusOK, map[string]any{"running": running, "finished": finished}
+}
+
+// percent returns the progress of a run.
+func (x *run) percent() int {
+	full := x.work
+	if x.lasting {
+		full = startup
+	}
+	return int(min(100*time.Since(x.begun)/max(full, 1), 100))
+}
+
+// atWork returns the number of tasks of a job that run on the runner.
+func (r *runner) atWork(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for task := range r.runs {
+		if strings.HasPrefix(task, job+".") {
+			n++
+		}
+	}
+	return n
+}
