--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -143,3 +143,45 @@
 	s.note("case", "%d of %d tasks run, %d runners are idle, %.1f s after", s.atWork(id), tasks, s.idleRunners(), time.Since(crashed).Seconds())
 	return held
 }
+
+// urgentCase checks RECLAIM: tenant north has 64 accelerators guaranteed and needs 8 of them,
+// while tenant south has come to use all processors for urgent tasks that last and need no
+// accelerator.
+func urgentCase(s *site, trouble bool) bool {
+	const (
+		reclaim = 2700 * time.Millisecond
+		shown   = 30 * time.Second
+		usual   = 18
+		burst   = 48 // 2.67 times the usual number
+	)
+	jobs := usual
+	if trouble {
+		jobs = burst
+	}
+	lasting := job{Spec: "lasting", Steps: []step{{
+		capacity: capacity{CPU: 64000, MemoryMB: 32768}, Count: 1, LongRunning: true,
+	}}}
+	for i := range jobs {
+		s.submit(s.instances[i%len(s.instances)], "key-south", "/urgent/", jobID(5, i), lasting)
+	}
+	s.await(fmt.Sprintf("%d tasks of south are at work", jobs), 15*time.Second, func() bool {
+		n := 0
+		for i := range jobs {
+			n += s.atWork(jobID(5, i))
+		}
+		return n == jobs
+	})
+	time.Sleep(2 * time.Second)
+	id := jobID(6, 0)
+	s.submit(s.instances[0], "key-north", "/urgent/", id, job{Spec: "work 2500", Steps: []step{{
+		capacity: capacity{CPU: 8000, MemoryMB: 32768, GPU: 8}, Count: 1, EstimateMS: 2500,
+	}}})
+	acked := time.Now()
+	for s.startsOf(id) == 0 && time.Since(acked) < shown {
+		time.Sleep(20 * time.Millisecond)
+	}
+	took := time.Since(acked)
+	s.note("case", "job %s of north: %d starts %.1f s after its ack", id, s.startsOf(id), took.Seconds())
+	s.call(s.instances[1], http.MethodGet, "key-north", "/urgent/"+id, nil)
+	return took <= reclaim
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -26,6 +26,7 @@
 	"guarantee": guaranteeCase,
 	"waiting":   waitingCase,
 	"lasting":   lastingCase,
+	"urgent":    urgentCase,
 }
 
 func main() {
