--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -185,3 +185,51 @@
 	s.call(s.instances[1], http.MethodGet, "key-north", "/urgent/"+id, nil)
 	return took <= reclaim
 }
+
+// gangCase checks RECLAIM: tenant north has a gang of 128 small tasks of priority 0, which fit
+// on one runner. Tenant south has come to use all runners of the leader's region, so that
+// the gang goes to a runner of the other region.
+func gangCase(s *site, trouble bool) bool {
+	const (
+		reclaim = 2700 * time.Millisecond
+		shown   = 40 * time.Second
+		usual   = 12
+		burst   = 32 // 2.67 times the usual number
+		members = 128
+	)
+	if zone := s.leaderZone(); regions[zone] != storeRegion {
+		s.fail("the case could not run: the leader is in zone %q", zone)
+	}
+	jobs := usual
+	if trouble {
+		jobs = burst
+	}
+	for i := range jobs {
+		s.submit(s.instances[i%len(s.instances)], "key-south", "/plain/", jobID(7, i), job{Spec: "lasting", Steps: []step{{
+			capacity: capacity{CPU: 64000, MemoryMB: 32768}, Count: 1, LongRunning: true,
+		}}})
+	}
+	s.await(fmt.Sprintf("%d tasks of south are at work", jobs), 15*time.Second, func() bool {
+		n := 0
+		for i := range jobs {
+			n += s.atWork(jobID(7, i))
+		}
+		return n == jobs
+	})
+	time.Sleep(2 * time.Second)
+	id := jobID(8, 0)
+	s.submit(s.instances[0], "key-north", "/urgent/", id, job{Spec: "work 2500", Steps: []step{{
+		capacity: capacity{CPU: 500, MemoryMB: 256}, Count: members, EstimateMS: 2500, Gang: true,
+	}}})
+	acked := time.Now()
+	time.Sleep(reclaim)
+	begun := s.begunTasks(id)
+	s.note("case", "%d of %d tasks of %s have begun %v after its ack", begun, members, id, reclaim)
+	for !s.gangComplete(id) && time.Since(acked) < shown {
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.note("case", "all members of a run of %s together: %v, %.1f s after its ack, %d starts", id, s.gangComplete(id),
+		time.Since(acked).Seconds(), s.startsOf(id))
+	s.call(s.instances[1], http.MethodGet, "key-north", "/urgent/"+id, nil)
+	return begun == members
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -27,6 +27,7 @@
 	"waiting":   waitingCase,
 	"lasting":   lastingCase,
 	"urgent":    urgentCase,
+	"gang":      gangCase,
 }
 
 func main() {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -54,6 +55,17 @@
 		lasting bool
 		// stopping is set once a stop was ordered.
 		stopping bool
+		// gang is the gang of the run, nil if it has none.
+		gang *gang
+	}
+
+	// gang is one run of a gang. The mutex of the site guards it.
+	gang struct {
+		missing int
+		// complete is the time from which all members are there. broken is set once one
+		// has ended without being done.
+		complete time.Time
+		broken   bool
 	}
 
 	end struct {
@@ -86,14 +98,21 @@
 	tick     = 10 * time.Millisecond
 	maxWait  = 2000
 	maxEnds  = 500
+	// gangTime is the time for which a member of a gang waits for the others.
+	gangTime = 3 * time.Second
 )
 
 // startRunner starts a runner and registers it.
 func startRunner(s *site, id, zone string, labels []string, room capacity) *runner {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	s.check(err)
+	address := l.Addr().String()
+	if regions[zone] != storeRegion {
+		// The leader is in the region of the store.
+		address = delayProxy(s, address)
+	}
 	r := &runner{
-		site: s, id: id, zone: zone, labels: labels, room: room, address: l.Addr().String(), born: time.Now(),
+		site: s, id: id, zone: zone, labels: labels, room: room, address: address, born: time.Now(),
 		runs: make(map[string]*run), last: make(map[string]int64), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -164,6 +183,10 @@
 		switch {
 		case r.clock() > r.leaseEnd:
 			r.end(task, x, "lapsed")
+		case x.gang != nil:
+			if how := r.site.gangEnd(x); how != "" {
+				r.end(task, x, how)
+			}
 		case !x.lasting && time.Since(x.begun) >= x.work:
 			r.end(task, x, "done")
 		}
@@ -173,6 +196,9 @@
 // end lists the end of a run. The caller holds mu.
 func (r *runner) end(task string, x *run, how string) {
 	delete(r.runs, task)
+	if x.gang != nil && how != "done" {
+		r.site.breakGang(x.gang)
+	}
 	r.last[task] = max(r.last[task], x.number)
 	r.ended++
 	r.ends = append(r.ends, end{r.ended, task, x.number, how})
@@ -226,7 +252,8 @@
 	} else if x != nil || r.last[o.Task] >= o.Run {
 		return refuse("old")
 	}
-	x := &run{number: o.Run, needs: r.site.needs(o.Task), begun: time.Now(), lasting: o.Spec == "lasting"}
+	of := r.site.stepOf(o.Task)
+	x := &run{number: o.Run, needs: of.capacity, begun: time.Now(), lasting: o.Spec == "lasting"}
 	if ms, ok := strings.CutPrefix(o.Spec, "work "); ok {
 		n, err := strconv.Atoi(ms)
 		r.site.check(err)
@@ -235,6 +262,9 @@
 	if !r.fits(x.needs) {
 		return refuse("room")
 	}
+	if of.Gang {
+		x.gang = r.site.joinGang(o.Task, o.Run, of.Count)
+	}
 	r.runs[o.Task] = x
 	r.site.noteStart(r, o.Task, o.Run)
 	return http.StatusOK, map[string]any{}
@@ -290,7 +320,7 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for task, x := range r.runs {
-		running = append(running, []any{task, x.number, "", x.percent(), 0})
+		running = append(running, []any{task, x.number, "", r.percent(x), 0})
 	}
 	for _, e := range r.ends[:min(len(r.ends), maxEnds)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
@@ -298,13 +328,72 @@
 	return http.StatusOK, map[string]any{"running": running, "finished": finished}
 }
 
-// percent returns the progress of a run.
-func (x *run) percent() int {
-	full := x.work
+// joinGang adds a member to a run of a gang with the given size.
+func (s *site) joinGang(task string, run int64, size int) *gang {
+	key := fmt.Sprintf("%s/%d", task[:strings.LastIndexByte(task, '.')], run)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.gangs[key]
+	if g == nil {
+		g = &gang{missing: size}
+		s.gangs[key] = g
+	}
+	if g.missing--; g.missing == 0 && !g.broken {
+		g.complete = time.Now()
+	}
+	return g
+}
+
+// breakGang ends a run of a gang, of which a member has ended.
+func (s *site) breakGang(g *gang) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.broken = true
+}
+
+// gangEnd returns how a member of a gang ends now, empty if it does not.
+func (s *site) gangEnd(x *run) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case x.gang.broken:
+		return "broken"
+	case x.gang.complete.IsZero() && time.Since(x.begun) >= gangTime:
+		return "alone"
+	case !x.gang.complete.IsZero() && time.Since(x.gang.complete) >= x.work:
+		return "done"
+	}
+	return ""
+}
+
+// gangComplete reports whether all members of a run of a gang have been there together.
+func (s *site) gangComplete(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, g := range s.gangs {
+		if strings.HasPrefix(key, id+".") && !g.complete.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// percent returns the progress of a run. A member of a gang gives none before the gang is
+// complete.
+func (r *runner) percent(x *run) int {
+	full, begun := x.work, x.begun
+	if x.gang != nil {
+		r.site.mu.Lock()
+		begun = x.gang.complete
+		r.site.mu.Unlock()
+		if begun.IsZero() {
+			return 0
+		}
+	}
 	if x.lasting {
 		full = startup
 	}
-	return int(min(100*time.Since(x.begun)/max(full, 1), 100))
+	return int(min(100*time.Since(begun)/max(full, 1), 100))
 }
 
 // atWork returns the number of tasks of a job that run on the runner.
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -35,10 +35,13 @@
 		mu sync.Mutex
 		// ports has the ports that freePorts has returned.
 		ports map[int]bool
-		// demands has the demands of the steps of each job that was sent, and starts the
-		// starts that runners have carried out, by job.
-		demands map[string][]capacity
+		// steps has the steps of each job that was sent, and starts the starts that runners
+		// have carried out, by job, and begunOf the tasks that they have started. gangs has
+		// the gangs by step and run.
+		steps   map[string][]step
+		begunOf map[string]map[string]bool
 		starts  map[string]int
+		gangs   map[string]*gang
 	}
 
 	// instance is one process of the program.
@@ -59,6 +62,7 @@
 		EstimateMS  int64  `json:"estimate_ms,omitempty"`
 		Requires    string `json:"requires,omitempty"`
 		Affinity    string `json:"affinity,omitempty"`
+		Gang        bool   `json:"gang,omitempty"`
 		LongRunning bool   `json:"long_running,omitempty"`
 		MayMiss     int    `json:"may_miss,omitempty"`
 	}
@@ -71,13 +75,15 @@
 	holdMaxMS = 10000
 	callTime  = 3 * time.Second
 
+	storeRegion = "ulaanbaatar"
+
 	runnersPerZone = 16
 	runnersPerRack = 8
 )
 
 var (
-	zones     = []string{"ub-east", "erd-north", "ub-west"}
-	regions   = map[string]string{"ub-east": "ulaanbaatar", "ub-west": "ulaanbaatar", "erd-north": "erdenet"}
+	zones     = []string{"ub-east", "ub-west", "erd-north"}
+	regions   = map[string]string{"ub-east": storeRegion, "ub-west": storeRegion, "erd-north": "erdenet"}
 	instances = map[string]int{"ub-east": 3, "erd-north": 3, "ub-west": 2}
 	fullRoom  = capacity{CPU: 64000, MemoryMB: 262144, GPU: 8}
 )
@@ -99,7 +105,7 @@
 func newSite(recordPath string) *site {
 	s := &site{
 		begun: time.Now(), store: newStore(), client: &http.Client{Timeout: callTime + time.Second},
-		ports: make(map[int]bool), demands: make(map[string][]capacity), starts: make(map[string]int),
+		ports: make(map[int]bool), steps: make(map[string][]step), starts: make(map[string]int), gangs: make(map[string]*gang), begunOf: make(map[string]map[string]bool),
 	}
 	var err error
 	s.record, err = os.Create(recordPath)
@@ -161,7 +167,12 @@
 // noteStart records a start that a runner has carried out.
 func (s *site) noteStart(r *runner, task string, run int64) {
 	s.mu.Lock()
-	s.starts[strings.Split(task, ".")[0]]++
+	id := strings.Split(task, ".")[0]
+	s.starts[id]++
+	if s.begunOf[id] == nil {
+		s.begunOf[id] = make(map[string]bool)
+	}
+	s.begunOf[id][task] = true
 	s.mu.Unlock()
 	s.note("runner "+r.id, "starts task %s run %d", task, run)
 }
@@ -173,16 +184,23 @@
 	return s.starts[id]
 }
 
-// needs returns the demand of a task.
-func (s *site) needs(task string) capacity {
+// begunTasks returns the number of tasks of a job of which a run was started.
+func (s *site) begunTasks(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.begunOf[id])
+}
+
+// stepOf returns the step of a task.
+func (s *site) stepOf(task string) step {
 	parts := strings.Split(task, ".")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	index, err := strconv.Atoi(parts[2])
-	if demands := s.demands[parts[0]]; err == nil && index < len(demands) {
-		return demands[index]
+	if steps := s.steps[parts[0]]; err == nil && index < len(steps) {
+		return steps[index]
 	}
-	return capacity{}
+	return step{}
 }
 
 // await waits until a condition holds, and ends the case if it does not in time.
@@ -231,7 +249,7 @@
 	fields := map[string]string{
 		"node": name, "zone": zone, "region": regions[zone], "listen.front": in.front, "listen.ready": in.ready,
 		"ip": loopback, "port_range.0": strconv.Itoa(ports), "port_range.1": strconv.Itoa(ports + 1),
-		"platform.address": s.storeAddr, "limits.cpu_share": "0.4", "limits.link_mbps": "1000.0",
+		"platform.address": s.storeFor(zone), "limits.cpu_share": "0.4", "limits.link_mbps": "1000.0",
 		"bounds.hold_max_ms": strconv.Itoa(holdMaxMS), "bounds.grace_s": "6", "bounds.status_s": "120",
 	}
 	text := placeholder.ReplaceAllStringFunc(string(template), func(p string) string { return fields[strings.Trim(p, "{}")] })
@@ -239,6 +257,29 @@
 	return in
 }
 
+// storeFor returns the address at which the instances of a zone reach the store, which
+// stands in ulaanbaatar.
+func (s *site) storeFor(zone string) string {
+	if regions[zone] == storeRegion {
+		return s.storeAddr
+	}
+	return delayProxy(s, s.storeAddr)
+}
+
+// leaderZone returns the zone of the instance that leads, empty if there is none.
+func (s *site) leaderZone() string {
+	var lease struct{ Node string }
+	if json.Unmarshal(s.store.get("term", "term", "lease"), &lease) != nil {
+		return ""
+	}
+	for _, zone := range zones {
+		if strings.Contains(lease.Node, zone) {
+			return zone
+		}
+	}
+	return ""
+}
+
 // startInstance starts the process of an instance with the command of the deploy file.
 func (s *site) startInstance(in *instance) {
 	log, err := os.OpenFile(in.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -301,9 +342,7 @@
 // submit hands a job in at an instance, which must accept it.
 func (s *site) submit(in *instance, key, path, id string, j job) {
 	s.mu.Lock()
-	for _, st := range j.Steps {
-		s.demands[id] = append(s.demands[id], st.capacity)
-	}
+	s.steps[id] = j.Steps
 	s.mu.Unlock()
 	if status, _ := s.call(in, http.MethodPost, key, path+id, j); status != http.StatusOK {
 		s.fail("the case could not run: job %s was answered %d", id, status)
