--- a/review/stand2/cases.go
+++ b/review/second/platform/cases.go
@@ -233,3 +233,69 @@
 	s.call(s.instances[1], http.MethodGet, "key-north", "/urgent/"+id, nil)
 	return begun == members
 }
+
+// twiceCase checks TWICE: the first try of a start arrives late. By then the second try has
+// been carried out, the task is done, and the runner, idle since, has restarted while the
+// store is down, so that the list doesn't show it.
+func twiceCase(s *site, trouble bool) bool {
+	const (
+		outageAt  = 3 * time.Second
+		crashAt   = 4 * time.Second
+		restartAt = 6500 * time.Millisecond
+		outageEnd = 9 * time.Second
+		end       = 12 * time.Second
+	)
+	task := step{capacity: capacity{CPU: 8000, MemoryMB: 32768, GPU: 8}, Count: 1, EstimateMS: 1000}
+	for i := range 20 {
+		s.submit(s.instances[i%len(s.instances)], "key-south", "/plain/", jobID(9, i), job{Spec: "work 1000", Steps: []step{task}})
+	}
+	time.Sleep(3 * time.Second)
+	id := jobID(10, 0)
+	if trouble {
+		s.mu.Lock()
+		s.lateJob = id
+		s.mu.Unlock()
+	}
+	begun := time.Now()
+	at := func(d time.Duration) { time.Sleep(time.Until(begun.Add(d))) }
+	s.submit(s.instances[0], "key-south", "/plain/", id, job{Spec: "work 1000", Steps: []step{task}})
+	at(outageAt)
+	if _, body := s.call(s.instances[1], http.MethodGet, "key-south", "/plain/"+id, nil); string(body) != `{"phase":"completed"}` {
+		s.fail("the case could not run: the job is not completed")
+	}
+	done := s.startsOf(id)
+	if trouble {
+		s.store.down.Store(true)
+		s.note("store", "is down")
+		at(crashAt)
+		s.lateRunner.crash()
+		at(restartAt)
+		s.lateRunner.restart()
+		at(outageEnd)
+		s.store.down.Store(false)
+		s.note("store", "is back")
+	}
+	at(end)
+	s.note("case", "%d starts of the task of %s, %d of them after the job was shown as completed", s.startsOf(id), id, s.startsOf(id)-done)
+	return s.startsOf(id) == done
+}
+
+// wideCase checks LOST for tasks that last: those of a job with more than 2,000 tasks.
+func wideCase(s *site, trouble bool) bool {
+	const (
+		usual, burst = 800, 2200 // 2.75 times the usual number
+		shown        = 40 * time.Second
+	)
+	tasks := usual
+	if trouble {
+		tasks = burst
+	}
+	id := jobID(11, 0)
+	s.submit(s.instances[0], "key-south", "/plain/", id, job{Spec: "lasting", Steps: []step{{
+		capacity: capacity{CPU: 100, MemoryMB: 100}, Count: tasks, LongRunning: true,
+	}}})
+	for acked := time.Now(); s.atWork(id) < tasks && time.Since(acked) < shown; time.Sleep(100 * time.Millisecond) {
+	}
+	s.note("case", "%d of %d tasks at work, %d runners are idle", s.atWork(id), tasks, s.idleRunners())
+	return s.atWork(id) == tasks
+}
--- a/review/stand2/main.go
+++ b/review/second/platform/main.go
@@ -1,10 +1,10 @@
-// Command stand2 plays one case of the second review against the program. It starts a
+// Command platform plays one case of the second review against the program. It starts a
 // small deployment on loopback, brings the disruption of the case, unless the
 // environment variable TROUBLE is 0, and checks the rule of the case.
 //
 // Usage, from the root of the repository:
 //
-//	target/stand2 CASE RECORD
+//	target/review-second CASE RECORD
 //
 // The exit code is 1 if the rule was broken, 0 if it held and 2 if the case could not
 // run.
@@ -28,11 +28,13 @@
 	"lasting":   lastingCase,
 	"urgent":    urgentCase,
 	"gang":      gangCase,
+	"twice":     twiceCase,
+	"wide":      wideCase,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand2 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-second CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	s := newSite(os.Args[2])
--- a/review/stand2/runner.go
+++ b/review/second/platform/runner.go
@@ -29,10 +29,12 @@
 		labels  []string
 		room    capacity
 		address string
-		born    time.Time
+		port    string
 		server  *http.Server
+		mux     *http.ServeMux
 
 		mu       sync.Mutex
+		born     time.Time
 		down     bool
 		draining bool
 		fence    int64
@@ -98,6 +100,8 @@
 	tick     = 10 * time.Millisecond
 	maxWait  = 2000
 	maxEnds  = 500
+	// lateTime is the delay of an order that is carried out late.
+	lateTime = 8 * time.Second
 	// gangTime is the time for which a member of a gang waits for the others.
 	gangTime = 3 * time.Second
 )
@@ -112,21 +116,25 @@
 		address = delayProxy(s, address)
 	}
 	r := &runner{
-		site: s, id: id, zone: zone, labels: labels, room: room, address: address, born: time.Now(),
+		site: s, id: id, zone: zone, labels: labels, room: room, address: address, port: l.Addr().String(), born: time.Now(),
 		runs: make(map[string]*run), last: make(map[string]int64), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run-start", r.serve(r.start))
 	mux.HandleFunc("POST /v1/run-stop", r.serve(r.stop))
 	mux.HandleFunc("POST /v1/hold", r.serve(r.hold))
-	r.server = &http.Server{Handler: mux}
+	r.mux, r.server = mux, &http.Server{Handler: mux}
 	go func() { _ = r.server.Serve(l) }()
 	go r.live()
 	return r
 }
 
-// register writes the entry of the runner into the list.
+// register writes the entry of the runner into the list. While the store is down, it
+// can't.
 func (r *runner) register(seq int) {
+	if r.site.store.down.Load() {
+		return
+	}
 	phase := "ready"
 	if r.draining {
 		phase = "draining"
@@ -144,25 +152,55 @@
 	for seq := 0; ; {
 		r.mu.Lock()
 		if r.down {
+			born := r.born
 			r.mu.Unlock()
-			time.Sleep(silenceBeats * heartbeat)
+			if r.awaitRestart(born, silenceBeats*heartbeat) {
+				next = time.Now()
+				continue
+			}
 			r.site.store.remove("servers", r.id)
 			r.site.note("platform", "removes the silent runner %s from the list", r.id)
 			return
 		}
 		r.advance()
 		r.mu.Unlock()
-		if !time.Now().Before(next) {
+		if !time.Now().Before(next) && !r.site.store.down.Load() {
 			seq++
-			next = next.Add(heartbeat)
+			next = time.Now().Add(heartbeat)
 			r.register(seq)
 		}
 		time.Sleep(tick)
 	}
 }
 
-// crash ends the process of the runner for good: its port is closed and its runs are
-// gone.
+// awaitRestart waits for the next life of a runner that has crashed, and reports whether
+// it has begun in time.
+func (r *runner) awaitRestart(born time.Time, limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(tick) {
+		r.mu.Lock()
+		restarted := !r.born.Equal(born)
+		r.mu.Unlock()
+		if restarted {
+			return true
+		}
+	}
+	return false
+}
+
+// restart begins another life of a crashed runner, under its id and address.
+func (r *runner) restart() {
+	l, err := net.Listen("tcp", r.port)
+	r.site.check(err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server = &http.Server{Handler: r.mux}
+	go func() { _ = r.server.Serve(l) }()
+	r.born, r.down, r.fence, r.leaseEnd, r.ended, r.ends = time.Now(), false, 0, 0, 0, nil
+	r.last = make(map[string]int64)
+	r.site.note("runner "+r.id, "has restarted, born %d", r.born.UnixMilli())
+}
+
+// crash ends the process of the runner: its port is closed and its runs are gone.
 func (r *runner) crash() {
 	r.mu.Lock()
 	r.down = true
@@ -237,7 +275,11 @@
 }
 
 // start starts a run. The caller holds mu.
-func (r *runner) start(_ context.Context, o *order) (int, map[string]any) {
+func (r *runner) start(ctx context.Context, o *order) (int, map[string]any) {
+	if r.site.isLate(r, o.Task) {
+		r.delay(ctx, o)
+		return http.StatusServiceUnavailable, map[string]any{}
+	}
 	refuse := func(reason string) (int, map[string]any) {
 		r.site.note("runner "+r.id, "refuses the start of task %s run %d: %s", o.Task, o.Run, reason)
 		return http.StatusConflict, map[string]any{"reason": reason}
@@ -270,6 +312,37 @@
 	return http.StatusOK, map[string]any{}
 }
 
+// delay leaves a start without an answer and has it arrive lateTime later. The caller
+// holds mu.
+func (r *runner) delay(ctx context.Context, o *order) {
+	r.site.note("runner "+r.id, "start of task %s run %d is on its way for %v", o.Task, o.Run, lateTime)
+	late := *o
+	time.AfterFunc(lateTime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.site.note("runner "+r.id, "start of task %s run %d arrives late", late.Task, late.Run)
+		if !r.down && late.Fence >= r.fence {
+			r.fence = late.Fence
+			r.start(context.Background(), &late)
+		}
+	})
+	r.mu.Unlock()
+	<-ctx.Done()
+	r.mu.Lock()
+}
+
+// isLate reports whether a start is the first one of the job lateJob, and records its
+// runner.
+func (s *site) isLate(r *runner, task string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lateRunner != nil || s.lateJob == "" || !strings.HasPrefix(task, s.lateJob+".") {
+		return false
+	}
+	s.lateRunner = r
+	return true
+}
+
 // fits reports whether a further task fits. The caller holds mu.
 func (r *runner) fits(needs capacity) bool {
 	used := needs
@@ -303,6 +376,7 @@
 func (r *runner) hold(ctx context.Context, o *order) (int, map[string]any) {
 	r.extend(o.DeadlineMS)
 	for len(r.ends) > 0 && r.ends[0].number <= o.AckCursor {
+		r.site.note("runner "+r.id, "the end of task %s run %d is taken note of", r.ends[0].task, r.ends[0].run)
 		r.ends = r.ends[1:]
 	}
 	timeout := time.After(time.Duration(min(o.WaitMS, maxWait)) * time.Millisecond)
--- a/review/stand2/site.go
+++ b/review/second/platform/site.go
@@ -41,7 +41,10 @@
 		steps   map[string][]step
 		begunOf map[string]map[string]bool
 		starts  map[string]int
-		gangs   map[string]*gang
+		// lateJob is the job whose first start arrives late, and lateRunner its runner.
+		lateJob    string
+		lateRunner *runner
+		gangs      map[string]*gang
 	}
 
 	// instance is one process of the program.
--- a/review/stand2/store.go
+++ b/review/second/platform/store.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -53,6 +54,9 @@
 	store struct {
 		begun time.Time
 
+		// down is set while the store refuses all calls with 503.
+		down atomic.Bool
+
 		mu      sync.Mutex
 		version int64
 		rows    map[rowKey]row
@@ -79,7 +83,13 @@
 	mux.HandleFunc("POST /v1/rows-tx", s.serveTransaction)
 	mux.HandleFunc("GET /v1/rows-get", s.serveGet)
 	mux.HandleFunc("GET /v1/rows-feed", s.serveFeed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (s *store) answer(w http.ResponseWriter, status int, rows []row, more bool, version int64) {
