--- a/review/second/platform/cases.go
+++ b/review/second/platform/cases.go
@@ -299,3 +299,34 @@
 	s.note("case", "%d of %d tasks at work, %d runners are idle", s.atWork(id), tasks, s.idleRunners())
 	return s.atWork(id) == tasks
 }
+
+// nearCase checks LOST: a job has its data on a rack that others have come to fill, on a site
+// whose runners have no accelerators. All other runners are idle.
+func nearCase(s *site, trouble bool) bool {
+	const (
+		rack         = "r1-1"
+		usual, burst = 3, 8 // 2.67 times the usual number
+		// limit is finish_s and the 3 s for which the job may have nothing running.
+		limit = 17 * time.Second
+	)
+	jobs := usual
+	if trouble {
+		jobs = burst
+	}
+	task := step{capacity: capacity{CPU: 64000, MemoryMB: 32768}, Count: 1, Affinity: rack}
+	lasting := task
+	lasting.LongRunning = true
+	for i := range jobs {
+		s.submit(s.instances[0], "key-south", "/plain/", jobID(12, i), job{Spec: "lasting", Steps: []step{lasting}})
+	}
+	time.Sleep(2 * time.Second)
+	id := jobID(13, 0)
+	task.EstimateMS = 60_000
+	s.submit(s.instances[0], "key-north", "/plain/", id, job{Spec: "work 60000", Steps: []step{task}})
+	acked := time.Now()
+	for s.startsOf(id) == 0 && time.Since(acked) < limit {
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.note("case", "%d starts of %s, %.1f s after its ack; %d runners are idle", s.startsOf(id), id, time.Since(acked).Seconds(), s.idleRunners())
+	return s.startsOf(id) > 0
+}
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -30,6 +30,7 @@
 	"gang":      gangCase,
 	"twice":     twiceCase,
 	"wide":      wideCase,
+	"near":      nearCase,
 }
 
 func main() {
@@ -37,7 +38,11 @@
 		fmt.Fprintln(os.Stderr, "usage: review-second CASE RECORD")
 		os.Exit(exitNotRun)
 	}
-	s := newSite(os.Args[2])
+	room := fullRoom
+	if os.Args[1] == "near" {
+		room.GPU = 0
+	}
+	s := newSite(os.Args[2], room)
 	held := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
 	s.stop()
 	if !held {
--- a/review/second/platform/site.go
+++ b/review/second/platform/site.go
@@ -24,6 +24,7 @@
 	// the instances of the program as processes. It records what it sees.
 	site struct {
 		begun     time.Time
+		room      capacity
 		record    *os.File
 		folder    string
 		store     *store
@@ -105,8 +106,9 @@
 {"name":"south","api_keys":["key-south"],"guaranteed":{"gpu":64}}]}`
 
 // newSite starts a site and waits until all instances are ready and know the runners.
-func newSite(recordPath string) *site {
+func newSite(recordPath string, room capacity) *site {
 	s := &site{
+		room:  room,
 		begun: time.Now(), store: newStore(), client: &http.Client{Timeout: callTime + time.Second},
 		ports: make(map[int]bool), steps: make(map[string][]step), starts: make(map[string]int), gangs: make(map[string]*gang), begunOf: make(map[string]map[string]bool),
 	}
@@ -123,7 +125,7 @@
 	for z, zone := range zones {
 		for i := range runnersPerZone {
 			rack := fmt.Sprintf("r%d-%d", z+1, i/runnersPerRack+1)
-			s.runners = append(s.runners, startRunner(s, fmt.Sprintf("i-%d%02d", z+1, i), zone, []string{"a", rack}, fullRoom))
+			s.runners = append(s.runners, startRunner(s, fmt.Sprintf("i-%d%02d", z+1, i), zone, []string{"a", rack}, s.room))
 		}
 	}
 	for _, zone := range zones {
