--- a/review/second/platform/runner.go
+++ b/review/second/platform/runner.go
@@ -20,14 +20,16 @@
 		GPU      int64 `json:"gpu,omitempty"`
 	}
 
-	// runner is a stand-in for one life of a runner. It runs single tasks, which take
-	// as long as their spec says, and guards its capacity.
+	// runner is a stand-in for a runner under its id, also over restarts. Its tasks and
+	// gangs take as long as their spec says, and it guards its capacity.
 	runner struct {
 		site    *site
 		id      string
 		zone    string
 		labels  []string
 		room    capacity
+		// address is the listed one, and port the one on which the runner listens. They
+		// differ if a proxy with the delay between the regions is before it.
 		address string
 		port    string
 		server  *http.Server
@@ -36,7 +38,6 @@
 		mu       sync.Mutex
 		born     time.Time
 		down     bool
-		draining bool
 		fence    int64
 		leaseEnd int64
 		runs     map[string]*run
@@ -135,12 +136,8 @@
 	if r.site.store.down.Load() {
 		return
 	}
-	phase := "ready"
-	if r.draining {
-		phase = "draining"
-	}
 	r.site.store.put("servers", r.id, map[string]any{
-		"service": service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "phase": phase,
+		"service": service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "phase": "ready",
 		"cold_left_ms": 0, "seq": seq, "capacity": r.room, "labels": r.labels, "born": r.born.UnixMilli(),
 	})
 }
