--- a/review/second/platform/runner.go
+++ b/review/second/platform/runner.go
@@ -23,11 +23,11 @@
 	// runner is a stand-in for a runner under its id, also over restarts. Its tasks and
 	// gangs take as long as their spec says, and it guards its capacity.
 	runner struct {
-		site    *site
-		id      string
-		zone    string
-		labels  []string
-		room    capacity
+		site   *site
+		id     string
+		zone   string
+		labels []string
+		room   capacity
 		// address is the listed one, and port the one on which the runner listens. They
 		// differ if a proxy with the delay between the regions is before it.
 		address string
