--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -56,14 +56,16 @@
 		server   *http.Server
 		born     time.Time
 		alive    bool
-		fence    int64
-		leaseEnd time.Time
-		runs     map[string]*run
-		lastRun  map[string]int64
-		ends     []*run
-		lastEnd  int64
-		acked    int64
-		changed  chan struct{}
+		// unhealthy runners answer 503 to starts and do nothing.
+		unhealthy bool
+		fence     int64
+		leaseEnd  time.Time
+		runs      map[string]*run
+		lastRun   map[string]int64
+		ends      []*run
+		lastEnd   int64
+		acked     int64
+		changed   chan struct{}
 	}
 
 	// fleet is the set of all runners. One lock covers all of them.
@@ -306,6 +308,11 @@
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	now := time.Now()
+	if w.unhealthy {
+		w.fleet.record.add("%s: start of %s run %d gets 503", w.id, o.Task, o.Run)
+		reply(rw, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	until := w.until(o.Deadline, now)
 	refuse := func(reason string) {
 		w.fleet.record.add("%s: start of %s run %d refused: %s", w.id, o.Task, o.Run, reason)
