--- a/review/third/main.go
+++ b/review/third/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. Each reports whether the rule held.
 var cases = map[string]func(*record) (bool, error){
 	"headroom": func(r *record) (bool, error) { return headroomCase().play(r) },
+	"away":     func(r *record) (bool, error) { return playAway(r) },
 	"waiting":  func(r *record) (bool, error) { return playWaiting(r) },
 	"affinity": func(r *record) (bool, error) { return affinityCase().play(r) },
 }
--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -58,14 +60,16 @@
 		alive    bool
 		// unhealthy runners answer 503 to starts and do nothing.
 		unhealthy bool
-		fence     int64
-		leaseEnd  time.Time
-		runs      map[string]*run
-		lastRun   map[string]int64
-		ends      []*run
-		lastEnd   int64
-		acked     int64
-		changed   chan struct{}
+		// cut runners get no calls; healed is closed at the end of the cut.
+		healed   chan struct{}
+		fence    int64
+		leaseEnd time.Time
+		runs     map[string]*run
+		lastRun  map[string]int64
+		ends     []*run
+		lastEnd  int64
+		acked    int64
+		changed  chan struct{}
 	}
 
 	// fleet is the set of all runners. One lock covers all of them.
@@ -118,7 +122,7 @@
 	mux.HandleFunc("POST /v1/run-start", w.serveStart)
 	mux.HandleFunc("POST /v1/run-stop", w.serveStop)
 	mux.HandleFunc("POST /v1/hold", w.serveHold)
-	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	w.server = &http.Server{Handler: w.behindLink(mux), ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(l) }()
 	f.mu.Lock()
 	f.runners = append(f.runners, w)
@@ -127,6 +131,49 @@
 	return w, nil
 }
 
+// behindLink holds calls back while the runner is cut off. A call whose caller has given up
+// meanwhile is lost.
+func (w *runner) behindLink(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		w.fleet.mu.Lock()
+		healed := w.healed
+		w.fleet.mu.Unlock()
+		if healed != nil {
+			select {
+			case <-healed:
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if r.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(rw, r)
+	})
+}
+
+// cut cuts the runner off for the given time. What runs there goes on.
+func (w *runner) cut(d time.Duration) {
+	healed := make(chan struct{})
+	w.fleet.mu.Lock()
+	w.healed = healed
+	w.signal()
+	w.fleet.mu.Unlock()
+	w.fleet.record.add("DISRUPTION runner %s is cut off for %v", w.id, d)
+	time.AfterFunc(d, func() {
+		w.fleet.mu.Lock()
+		w.healed = nil
+		w.fleet.mu.Unlock()
+		close(healed)
+		w.fleet.record.add("DISRUPTION runner %s is reached again", w.id)
+	})
+}
+
 // beat writes the entry of the runner until it is gone, and removes it after three missed
 // heartbeats.
 func (w *runner) beat() {
@@ -402,7 +449,7 @@
 		w.acked = max(w.acked, o.Ack)
 		w.ends = slices.DeleteFunc(w.ends, func(x *run) bool { return x.end <= w.acked })
 	}
-	for len(w.ends) == 0 && ctx.Err() == nil && w.alive && o.Wait > 0 {
+	for len(w.ends) == 0 && ctx.Err() == nil && w.alive && w.healed == nil && o.Wait > 0 {
 		changed := w.changed
 		w.fleet.mu.Unlock()
 		select {
@@ -411,6 +458,17 @@
 		}
 		w.fleet.mu.Lock()
 	}
+	for w.healed != nil {
+		// The answer is held back by the cut, and lost if the caller has given up.
+		healed := w.healed
+		w.fleet.mu.Unlock()
+		select {
+		case <-healed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		w.fleet.mu.Lock()
+	}
 	defer w.fleet.mu.Unlock()
 	now = time.Now()
 	running, finished := [][]any{}, [][]any{}
--- a/review/third/store.go
+++ b/review/third/store.go
@@ -33,7 +33,7 @@
 		history []row
 		version int64
 		changed chan struct{}
-		// down is set while the store refuses all calls.
+		// down is set while the store resets all connections.
 		down    bool
 		started time.Time
 	}
@@ -50,8 +50,8 @@
 	down := s.down
 	s.mu.Unlock()
 	if down {
-		reply(w, http.StatusServiceUnavailable, map[string]any{})
-		return
+		// The connection is reset.
+		panic(http.ErrAbortHandler)
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /v1/rows-tx":
@@ -193,8 +193,7 @@
 		s.mu.Lock()
 		if s.down {
 			s.mu.Unlock()
-			reply(w, http.StatusServiceUnavailable, map[string]any{})
-			return
+			panic(http.ErrAbortHandler)
 		}
 		rows := []row{}
 		for i := len(s.history) - 1; i >= 0 && s.history[i].Version > after; i-- {
