--- a/review/third/away.go
+++ b/review/third/away.go
@@ -82,7 +82,8 @@
 	}
 }
 
-// checkTwice reports whether no two runs of a task overlap.
+// checkTwice reports whether no two runs of a task overlap, and no run begins after one that has ended
+// done, if that end was taken note of.
 func (f *fleet) checkTwice() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,6 +96,11 @@
 					x.begun.Sub(f.record.started).Seconds(), o.number, o.runner)
 				held = false
 			}
+			if o.how == "done" && o.noted && !o.ended.After(x.begun) {
+				f.record.add("BROKEN TWICE: %s run %d begins on %s at %.3f s, after run %d ended done on %s and the end was taken note of",
+					x.task, x.number, x.runner, x.begun.Sub(f.record.started).Seconds(), o.number, o.runner)
+				held = false
+			}
 		}
 		byTask[x.task] = append(byTask[x.task], x)
 	}
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(*record) (bool, error){
 	"headroom": func(r *record) (bool, error) { return headroomCase().play(r) },
 	"away":     func(r *record) (bool, error) { return playAway(r) },
+	"restart":  func(r *record) (bool, error) { return playRestart(r) },
 	"waiting":  func(r *record) (bool, error) { return playWaiting(r) },
 	"affinity": func(r *record) (bool, error) { return affinityCase().play(r) },
 }
--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -45,6 +45,8 @@
 		how     string
 		stopAt  time.Time
 		end     int64
+		// noted is set when ack_cursor has reached the end.
+		noted bool
 	}
 
 	// runner is a stand-in for one life of a runner.
@@ -213,6 +215,35 @@
 	_ = w.server.Close()
 }
 
+// restart crashes the runner and starts it again after the given time under the same id, at the same
+// address. It then knows nothing of before.
+func (w *runner) restart(down time.Duration) error {
+	w.fleet.record.add("DISRUPTION runner %s crashes", w.id)
+	_ = w.server.Close()
+	w.fleet.mu.Lock()
+	for _, r := range w.runs {
+		r.ended, r.how = time.Now(), "crashed"
+		w.fleet.record.add("%s: %s run %d ends with its runner", w.id, r.task, r.number)
+	}
+	w.runs, w.lastRun = make(map[string]*run), make(map[string]int64)
+	w.ends, w.lastEnd, w.acked, w.fence, w.leaseEnd = nil, 0, 0, 0, time.Time{}
+	w.signal()
+	w.fleet.mu.Unlock()
+	time.Sleep(down)
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return fmt.Errorf("restart runner %s: %w", w.id, err)
+	}
+	w.fleet.mu.Lock()
+	w.born = time.Now()
+	w.server = &http.Server{Handler: w.server.Handler, ReadHeaderTimeout: time.Minute}
+	server := w.server
+	w.fleet.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	w.fleet.record.add("runner %s starts again under its id", w.id)
+	return nil
+}
+
 func (w *runner) signal() {
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -323,7 +354,12 @@
 	w.lastRun[r.task] = max(w.lastRun[r.task], r.number)
 	w.lastEnd++
 	r.ended, r.how, r.end = now, how, w.lastEnd
-	w.ends = append(w.ends, r)
+	if r.end <= w.acked {
+		r.noted = true
+		w.fleet.record.add("%s: end %d is forgotten at once, since ack_cursor has reached %d", w.id, r.end, w.acked)
+	} else {
+		w.ends = append(w.ends, r)
+	}
 	w.fleet.record.add("%s: %s run %d ends: %s", w.id, r.task, r.number, how)
 	w.signal()
 }
@@ -446,7 +482,13 @@
 		if o.Deadline > 0 {
 			w.extend(w.until(o.Deadline, now))
 		}
-		w.acked = max(w.acked, o.Ack)
+		if o.Ack > w.acked {
+			w.acked = o.Ack
+			w.fleet.record.add("%s: ack_cursor %d", w.id, o.Ack)
+		}
+		for _, x := range w.ends {
+			x.noted = x.noted || x.end <= w.acked
+		}
 		w.ends = slices.DeleteFunc(w.ends, func(x *run) bool { return x.end <= w.acked })
 	}
 	for len(w.ends) == 0 && ctx.Err() == nil && w.alive && w.healed == nil && o.Wait > 0 {
