review: two cases from entries, two dropped that earlier cases show

Dropped: the case of a task that lasts and waits for its rack, which is review/9, and that of the count of waiting jobs, which is review/10.

--- a/review/third/lasting.go
+++ b/review/third/lasting.go
@@ -196,15 +196,3 @@
 		},
 	}
 }
-
-// affinity: the data of the job is on rack r1, whose two runners have one task each. The runners of
-// rack r2 are idle.
-func affinityCase() *lastingCase {
-	need := amount{CPU: 20000, Memory: 80000, GPU: 5}
-	return &lastingCase{
-		racks: []string{"r1", "r1", "r2", "r2", "r2"}, need: need, count: 2, duration: 40 * time.Second,
-		step: map[string]any{
-			"count": 2, "cpu": need.CPU, "mem_mb": need.Memory, "gpu": need.GPU, "long_running": true, "affinity": "r1", "estimate_ms": 60000,
-		},
-	}
-}
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -20,8 +20,8 @@
 	"headroom": func(r *record) (bool, error) { return headroomCase().play(r) },
 	"away":     func(r *record) (bool, error) { return playAway(r) },
 	"restart":  func(r *record) (bool, error) { return playRestart(r) },
-	"waiting":  func(r *record) (bool, error) { return playWaiting(r) },
-	"affinity": func(r *record) (bool, error) { return affinityCase().play(r) },
+	"cancel":   func(r *record) (bool, error) { return playCancel(r) },
+	"wide":     func(r *record) (bool, error) { return playWide(r) },
 }
 
 // The instances end with the thread that has started them, so that it must be the main one.
--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -60,8 +60,8 @@
 		server   *http.Server
 		born     time.Time
 		alive    bool
-		// unhealthy runners answer 503 to starts and do nothing.
-		unhealthy bool
+		// delay is the time of a packet to or from the runner.
+		delay time.Duration
 		// cut runners get no calls; healed is closed at the end of the cut.
 		healed   chan struct{}
 		fence    int64
@@ -155,6 +155,10 @@
 		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if w.delay > 0 {
+			time.Sleep(w.delay)
+			defer time.Sleep(w.delay)
+		}
 		h.ServeHTTP(rw, r)
 	})
 }
@@ -391,11 +395,6 @@
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	now := time.Now()
-	if w.unhealthy {
-		w.fleet.record.add("%s: start of %s run %d gets 503", w.id, o.Task, o.Run)
-		reply(rw, http.StatusServiceUnavailable, map[string]any{})
-		return
-	}
 	until := w.until(o.Deadline, now)
 	refuse := func(reason string) {
 		w.fleet.record.add("%s: start of %s run %d refused: %s", w.id, o.Task, o.Run, reason)
