review: stand-ins of the third review in a module of their own

As those of the earlier reviews, in a folder in which TestWireNames permits the platform's words; it had failed before. TestWireNames passes.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review3
-go build -tags review3 -o target/review3/third ./review/third
+out=$PWD/target/review3/third
+cd review/third/platform
+go build -o "$out" .
--- a/review/third/doc.go
+++ b/review/third/platform/doc.go
@@ -1,6 +1,4 @@
-//go:build review3
-
-// Command third plays the scripted cases of the third review. It starts instances of
+// Command platform plays the scripted cases of the third review. It starts instances of
 // baobabquayd as separate processes, with the settings of the deploy file, and small
 // stand-ins for the platform's store, the runners and the callers on loopback addresses.
 //
--- a/review/third/wide.go
+++ b/review/third/platform/wide.go
@@ -1,5 +1,3 @@
-//go:build review3
-
 package main
 
 import (
