--- a/review/third/platform/system.go
+++ b/review/third/platform/system.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -32,6 +33,8 @@
 		dir       string
 		storeAddr string
 		client    *http.Client
+		// taken are the addresses of the instances.
+		taken []string
 	}
 )
 
@@ -72,8 +75,13 @@
 	return s, s.awaitReady()
 }
 
+// loopback is the loopback address of the instances of this process, so that no other process takes
+// one of their ports before they start.
+var loopback = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8%128, os.Getpid()%256)
+
+// freeAddress returns an address of loopback whose port is free.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		return "", fmt.Errorf("free port: %w", err)
 	}
@@ -85,11 +93,14 @@
 func (s *system) newInstance(name string) (*instance, error) {
 	var addresses [4]string
 	for i := range addresses {
-		a, err := freeAddress()
-		if err != nil {
-			return nil, err
+		for addresses[i] == "" || slices.Contains(s.taken, addresses[i]) {
+			a, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			addresses[i] = a
 		}
-		addresses[i] = a
+		s.taken = append(s.taken, addresses[i])
 	}
 	port := func(a string) string { return a[strings.LastIndexByte(a, ':')+1:] }
 	text, err := os.ReadFile(settingsTemplate)
@@ -98,7 +109,7 @@
 	}
 	filled := strings.NewReplacer(
 		"{{node}}", name, "{{zone}}", "zone-a", "{{region}}", "region-a", "{{listen.front}}", addresses[0], "{{listen.ready}}", addresses[1],
-		"{{ip}}", "127.0.0.1", "{{port_range.0}}", port(addresses[2]), "{{port_range.1}}", port(addresses[3]),
+		"{{ip}}", loopback, "{{port_range.0}}", port(addresses[2]), "{{port_range.1}}", port(addresses[3]),
 		"{{platform.address}}", s.storeAddr, "{{advice}}", "", "{{limits.cpu_share}}", "0.4", "{{limits.link_mbps}}", "1000.0",
 		"{{bounds.hold_max_ms}}", "6000", "{{bounds.grace_s}}", "6", "{{bounds.status_s}}", "120",
 	).Replace(string(text))
