agent, lead: a start that was given up isn't sent again

Cause: the leader cannot renew its own lease during the outage, so the leases of the workers are over when the store returns. Placements that waited are started at once. If the call that holds a worker's leases fails then, the agent emits Gone, and the scheduler ends all runs whose start was first sent before the event. The goroutine that sends such a start goes on: each of its tries grants a new lease, by then from a lease of the leader that is renewed again, and the worker, which is back, carries it out. Gone says that all leases have expired; it did not say that no further one is granted to the same starts.

Fix: starts belong to generations. Gone, a stop that is given up since the leases have expired, and a restart of the worker each end the generation of the agent: a start of an ended generation is not sent again, Gone names the generation that it ends in place of an instant, and the fencing token rises if a start may still be on its way. It so replaces the number of the incarnation, which did the same for restarts alone. The order of the event and of the start in the scheduler does not matter any more.

TestStartedAfterLeaseEnd compares generations where it compared instants. TestWorkerRestart and TestStopOutlastsLeases: the start of an ended generation is no longer tried, and the token rises.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,20 +22,22 @@
 		// call that returned it began.
 		Report      Report
 		RequestedAt time.Time
-		// Incarnation is set for Reported: the number of the worker incarnation
-		// that reports. The report lists no runs of earlier incarnations. The
-		// first, partial report of a new incarnation has the number of the
-		// former one.
-		Incarnation int64
+		// Generation is set for Reported and Gone. The worker carries out no
+		// start of an earlier generation after a report, and none of this one or
+		// an earlier one after Gone. The first, partial report of a new
+		// incarnation has the generation of the former one.
+		Generation int64
 		// Order is set for Started, Refused and Dropped. Reason is set for
 		// Refused, Silent and Gone, and for Dropped if a try was refused.
 		Order  Order
 		Reason string
 		// Tries is set for Refused: the number of tries up to the refused one.
 		// Unanswered reports whether an earlier try had no answer, so that the
-		// worker may still carry it out.
+		// worker may still carry it out. Deposed reports whether the worker has
+		// seen the fencing token of a later leader.
 		Tries      int
 		Unanswered bool
+		Deposed    bool
 		At         time.Time
 	}
 
@@ -56,10 +58,10 @@
 		Limits Limits
 		// Epoch is the leader's epoch.
 		Epoch int64
-		// InitialIncarnation is the initial incarnation number of the worker.
+		// InitialToken is the number of the first fencing token within the epoch.
 		// It is above those that former agents of the worker have used in this
 		// term.
-		InitialIncarnation int64
+		InitialToken int64
 		// LastRenewal returns the instant of the last renewal of the leader's
 		// lease.
 		LastRenewal func() time.Time
@@ -82,8 +84,15 @@
 		clockReadAt      time.Time
 		incarnationStart time.Time
 		// lastReport is the instant of the last report.
-		lastReport  time.Time
-		incarnation int64
+		lastReport time.Time
+		// generation is the number of the present generation of starts, and token
+		// the number of its fencing token within the epoch.
+		generation int64
+		token      int64
+		// pendingStarts counts the starts of the generation that are being sent, and
+		// unansweredStart reports whether a try of one of its starts had no answer.
+		pendingStarts   int
+		unansweredStart bool
 		// leaseEnd is the latest end of the leases of the present incarnation.
 		leaseEnd Clock
 		// otherLeaseEnd is the latest end of the leases of another incarnation
@@ -128,8 +137,8 @@
 	Dropped
 	// Silent means that the worker does not answer.
 	Silent
-	// Gone means that all leases that were granted to an unresponsive worker
-	// until At have expired.
+	// Gone means that all leases that were granted to an unresponsive worker have
+	// expired, and that no start of the generation is sent any more.
 	Gone
 )
 
@@ -161,36 +170,45 @@
 	// runEndMargin is the time that a worker may need to end its runs after
 	// their leases have expired.
 	runEndMargin = 250 * time.Millisecond
-	// incarnationsPerEpoch is the number of incarnations of a worker that the
-	// fencing token can distinguish within an epoch.
-	incarnationsPerEpoch = 1000
+	// tokensPerEpoch is the number of fencing tokens of a worker within an epoch.
+	tokensPerEpoch = 1000
 )
 
 // New returns an agent that has not called its worker yet.
 func New(d Deps) *Agent {
 	return &Agent{
-		Deps: d, wake: make(chan struct{}, 1), created: time.Now(), incarnation: d.InitialIncarnation,
+		Deps: d, wake: make(chan struct{}, 1), created: time.Now(), token: d.InitialToken,
 		listedAddress: d.Target.Address, answeredAddress: d.Target.Address,
 	}
 }
 
-// Fence returns the present fencing token. It rises with the epoch and, within
-// an epoch, with each incarnation of the worker, so that later incarnations
-// refuse orders to earlier ones.
+// Fence returns the present fencing token. It rises with the epoch and, within an
+// epoch, with each incarnation of the worker and each generation of which a start
+// may still be on its way, so that the worker refuses that start.
 func (a *Agent) Fence() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.fence()
 }
 
-func (a *Agent) fence() int64 { return a.Epoch*incarnationsPerEpoch + a.incarnation }
+func (a *Agent) fence() int64 { return a.Epoch*tokensPerEpoch + min(a.token, tokensPerEpoch-1) }
 
-// Incarnation returns the number of the worker's present incarnation, which rises
-// with each restart of the worker.
-func (a *Agent) Incarnation() int64 {
+// NextToken returns a number of a fencing token that this agent has not used.
+func (a *Agent) NextToken() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.incarnation
+	return a.token + 1
+}
+
+// endGeneration begins the next generation of starts, since those of the present one
+// are given up. None of them is sent again. If the worker may still receive one, the
+// fencing token rises. The caller must hold mu.
+func (a *Agent) endGeneration() {
+	a.generation++
+	if a.pendingStarts > 0 || a.unansweredStart {
+		a.token++
+	}
+	a.pendingStarts, a.unansweredStart = 0, false
 }
 
 // IncarnationStart returns the start of the worker's present incarnation, zero
@@ -327,7 +345,7 @@
 func (a *Agent) hold(ctx context.Context, wait time.Duration, first bool) {
 	requestedAt := time.Now()
 	a.mu.Lock()
-	h := HoldRequest{Fence: a.fence(), Wait: wait}
+	h, generation := HoldRequest{Fence: a.fence(), Wait: wait}, a.generation
 	// After a failed call no lease is granted, since a worker whose answers are
 	// lost would otherwise hold leases that never end. Nor are run ends
 	// acknowledged, since another incarnation may answer, which numbers its run
@@ -363,7 +381,7 @@
 	a.mu.Lock()
 	a.ackSent, a.answeredAddress = max(a.ackSent, h.Acknowledged), to.Address
 	a.mu.Unlock()
-	if a.handleReport(report, requestedAt) {
+	if a.handleReport(report, requestedAt, generation) {
 		a.waitForStore(ctx, h, report)
 	}
 }
@@ -414,12 +432,13 @@
 // worker is therefore called once more, and the scheduler gives up the runs of
 // the former incarnation on the next report. The run ends in the first report
 // count, since the call may have acknowledged them with a number of the former
-// incarnation.
-func (a *Agent) handleReport(r Report, requestedAt time.Time) bool {
+// incarnation. The generation is that of the call.
+func (a *Agent) handleReport(r Report, requestedAt time.Time, generation int64) bool {
 	a.mu.Lock()
 	restarted := !a.incarnationStart.IsZero() && !r.IncarnationStart.Equal(a.incarnationStart)
 	if restarted {
-		a.incarnation++
+		a.unansweredStart = true // A start to the former incarnation may be on its way.
+		a.endGeneration()
 		a.ackStored, a.ackSent, a.callNow = 0, 0, true
 	}
 	if restarted || a.incarnationStart.IsZero() && len(r.Running) > 0 {
@@ -430,16 +449,12 @@
 		}
 		a.leaseEnd = max(a.leaseEnd, r.Clock+a.Limits.Bound)
 	}
-	incarnation := a.incarnation
-	if restarted {
-		r.Partial = true
-		incarnation--
-	}
+	r.Partial = r.Partial || restarted
 	a.incarnationStart, a.lastReport, a.failedCalls = r.IncarnationStart, time.Now(), 0
 	a.updateClock(r.Clock, restarted)
 	a.mu.Unlock()
 	a.Emit(Event{Kind: Reported, Agent: a, Report: r, RequestedAt: requestedAt,
-		Incarnation: incarnation, At: time.Now()})
+		Generation: generation, At: time.Now()})
 	return !restarted
 }
 
@@ -456,10 +471,14 @@
 	incarnationEnded := a.incarnationEnded(to, err)
 	a.mu.Lock()
 	a.failedCalls++
-	failedCalls, leasesExpired, at := a.failedCalls, a.leasesExpired(), time.Now()
+	failedCalls, generation := a.failedCalls, a.generation
+	gone := incarnationEnded || a.leasesExpired()
+	if gone {
+		a.endGeneration()
+	}
 	a.mu.Unlock()
-	if incarnationEnded || leasesExpired {
-		a.Emit(Event{Kind: Gone, Agent: a, Reason: err.Error(), At: at})
+	if gone {
+		a.Emit(Event{Kind: Gone, Agent: a, Generation: generation, Reason: err.Error(), At: time.Now()})
 	} else if failedCalls >= silentThreshold {
 		a.Emit(Event{Kind: Silent, Agent: a, Reason: err.Error(), At: time.Now()})
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -79,7 +79,7 @@
 	switch e.Kind {
 	case Reported:
 		for _, end := range e.Report.Ended {
-			f.logf("event end %d of run %d, incarnation %d, partial %v", end.Number, end.Run, e.Incarnation, e.Report.Partial)
+			f.logf("event end %d of run %d, generation %d, partial %v", end.Number, end.Run, e.Generation, e.Report.Partial)
 		}
 		f.mu.Lock()
 		storeUnavailable := f.storeUnavailable
@@ -324,6 +324,31 @@
 	})
 }
 
+// TestStartAfterGone guards against a run that begins although it was given up: its
+// start is sent again, under a new lease, after Gone was emitted. The leases had ended
+// since the leader could not renew its own, which it can again. A try may still be on its
+// way, so that the fencing token has to rise.
+func TestStartAfterGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.answerStart = func(int) (Answer, error) { return Answer{}, errors.New("no answer") }
+		f.agent.SetExpectedRuns(1)
+		f.update(func() { f.renewalStopped = true })
+		time.Sleep(5300 * time.Millisecond)
+		f.logf("a start is sent, and the worker stops answering")
+		f.agent.Start(t.Context(), newOrder(1))
+		time.Sleep(10 * time.Millisecond)
+		f.update(func() { f.unreachable = true })
+		f.agent.RequestReport()
+		time.Sleep(10 * time.Millisecond)
+		f.logf("the leader's lease is renewed, and the worker answers")
+		f.update(func() { f.renewalStopped, f.unreachable = false, false })
+		time.Sleep(2 * time.Second)
+		f.agent.SetExpectedRuns(0)
+		f.assertGolden("start after gone.golden")
+	})
+}
+
 // TestStartAfterLongIdleTime guards against the refusal of a start as late
 // because the worker's clock was last read a long time ago.
 func TestStartAfterLongIdleTime(t *testing.T) {
@@ -355,7 +380,7 @@
 		f.update(func() { f.incarnationStart = time.Unix(200, 0) })
 		f.agent.SetExpectedRuns(1)
 		time.Sleep(2500 * time.Millisecond)
-		assert.Equal(t, f.agent.Incarnation(), int64(1))
+		assert.Equal(t, f.agent.Fence()-f.agent.Epoch*tokensPerEpoch, int64(1))
 		f.assertGolden("worker restart.golden")
 	})
 }
--- a/internal/agent/doc.go
+++ b/internal/agent/doc.go
@@ -24,6 +24,13 @@
 // refusal. Until the stop is answered or the leases have expired, the run may
 // exist.
 //
+// # Generations
+//
+// Starts belong to generations. A generation ends when its starts are given up: all
+// leases of an unresponsive worker have expired, or the worker has restarted. A start
+// whose generation has ended is not sent again, since each try would grant a new
+// lease, and the fencing token rises if a try may still be on its way.
+//
 // # Incarnations
 //
 // A worker may restart under the same name. Each start is an incarnation of the
--- a/internal/agent/lease_test.go
+++ b/internal/agent/lease_test.go
@@ -107,7 +107,7 @@
 					w.agent.hold(t.Context(), 0, w.agent.clockReadAt.IsZero())
 				default:
 					if !w.agent.clockReadAt.IsZero() {
-						_, _ = w.agent.sendStart(t.Context(), newOrder(1), 1)
+						_, _ = w.agent.sendStart(t.Context(), startOrder{Order: newOrder(1)})
 					}
 				}
 			}
@@ -144,7 +144,7 @@
 			w.agent.hold(t.Context(), 0, true)
 			time.Sleep(time.Second)
 			w.lastRenewal, w.unreachable = time.Now(), true
-			_, err := w.agent.sendStart(t.Context(), newOrder(1), 1)
+			_, err := w.agent.sendStart(t.Context(), startOrder{Order: newOrder(1)})
 			assert.NilError(t, err)
 			for w.agent.failedCalls == 0 || !w.agent.leasesExpired() {
 				w.agent.hold(t.Context(), 0, false)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -8,6 +8,14 @@
 	"github.com/pkg/errors"
 )
 
+// startOrder is a start with the generation to which it belongs, and the fencing
+// token of that generation.
+type startOrder struct {
+	Order
+	fence      int64
+	generation int64
+}
+
 const (
 	// orderTimeout bounds one try of an order. It allows for two round trips
 	// between regions and a busy worker.
@@ -18,26 +26,45 @@
 	orderRetryDelay = 40 * time.Millisecond
 )
 
+// errGenerationEnded means that a start was not sent, since its generation has ended.
+var errGenerationEnded = errors.New("generation of the start has ended")
+
 // Start sends a start order in a goroutine of its own, whose result is emitted
-// as an event. All tries carry the present fencing token, so that later
-// incarnations of the worker refuse them. Start returns the number of the
-// worker's present incarnation.
+// as an event. The start belongs to the present generation, whose number Start
+// returns: all tries carry its fencing token, and none is sent after its end. The
+// result of a start whose generation has ended arrives with Gone or with a report of
+// a later generation.
 func (a *Agent) Start(ctx context.Context, o Order) int64 {
 	a.mu.Lock()
-	fence, incarnation := a.fence(), a.incarnation
+	s := startOrder{Order: o, fence: a.fence(), generation: a.generation}
+	a.pendingStarts++
 	// Gone is not emitted before this lease has expired.
 	a.grantLease(time.Now())
 	a.mu.Unlock()
-	a.Go(func() { a.start(ctx, o, fence) })
-	return incarnation
+	a.Go(func() {
+		a.start(ctx, s)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.generation == s.generation {
+			a.pendingStarts--
+		}
+	})
+	return s.generation
 }
 
-func (a *Agent) start(ctx context.Context, o Order, fence int64) {
+func (a *Agent) start(ctx context.Context, s startOrder) {
+	o := s.Order
 	unanswered, retriedLate := false, false
 	reason := ""
 	var lastErr error
 	for try := range maxStartTries {
-		answer, err := a.sendStart(ctx, o, fence)
+		answer, err := a.sendStart(ctx, s)
+		if errors.Is(err, errGenerationEnded) {
+			a.Log.Write(event.OrderUnsettled, "order", "start", "task", o.Task.String(), "run", o.Run,
+				"worker", string(a.Target.ID), "reason", err.Error())
+			a.RequestReport()
+			return
+		}
 		if err == nil && answer.Refused == "" {
 			a.Emit(Event{Kind: Started, Agent: a, Order: o, At: time.Now()})
 			return
@@ -48,10 +75,10 @@
 			retriedLate = true
 			continue
 		}
-		if reason = refusalReason(answer, err); reason != "" && a.refusalSettles(reason, unanswered, fence) {
+		if reason = refusalReason(answer, err); reason != "" && a.refusalSettles(reason, unanswered, s.fence) {
 			a.Emit(Event{
-				Kind: Refused, Agent: a, Order: o, Reason: reason,
-				Tries: try + 1, Unanswered: unanswered, At: time.Now(),
+				Kind: Refused, Agent: a, Order: o, Reason: reason, Tries: try + 1, Unanswered: unanswered,
+				Deposed: reason == RefusedFence && s.fence == a.Fence(), At: time.Now(),
 			})
 			return
 		}
@@ -100,14 +127,22 @@
 	return !unanswered || reason == RefusedFence && fence == a.Fence()
 }
 
-func (a *Agent) sendStart(ctx context.Context, o Order, fence int64) (Answer, error) {
+// sendStart sends one try of a start, unless the generation of the start has ended.
+func (a *Agent) sendStart(ctx context.Context, s startOrder) (Answer, error) {
 	a.mu.Lock()
+	if a.generation != s.generation {
+		a.mu.Unlock()
+		return Answer{}, errGenerationEnded
+	}
 	until, clock := a.grantLease(time.Now()), a.workerClock
 	a.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	answer, err := a.Calls.Start(callCtx, a.target(), o, until, fence)
+	answer, err := a.Calls.Start(callCtx, a.target(), s.Order, until, s.fence)
 	if err != nil {
+		if !errors.Is(err, ErrNotCarriedOut) && !errors.Is(err, ErrOtherIncarnation) {
+			a.noteUnanswered(s.generation)
+		}
 		return answer, err
 	}
 	a.mu.Lock()
@@ -125,6 +160,15 @@
 	return answer, nil
 }
 
+// noteUnanswered records that the worker may still carry out a start.
+func (a *Agent) noteUnanswered(generation int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.generation == generation {
+		a.unansweredStart = true
+	}
+}
+
 // Stop stops a run in a goroutine of its own. It retries until the worker
 // answers or ctx ends. The end of the run arrives with a report.
 func (a *Agent) Stop(ctx context.Context, o Order) {
@@ -146,6 +190,9 @@
 		cancel()
 		a.mu.Lock()
 		leasesExpired := a.failedCalls > 0 && a.leasesExpired()
+		if leasesExpired {
+			a.endGeneration()
+		}
 		a.mu.Unlock()
 		// Once the leases have expired, the run has ended, or the worker refuses
 		// it as late.
--- a/internal/lead/log_test.go
+++ b/internal/lead/log_test.go
@@ -59,8 +59,8 @@
 		l := newLoggedTerm(t.Context())
 		now := time.Now()
 		report := reportSummary{requestedAt: now, running: 3, ended: 2}
-		m := &member{task: graph.TaskID{Job: "j"}, placement: &placement{run: 7}, startSent: true, incarnation: 1}
-		w := &worker{info: ListedWorker{ID: "w"}, listed: true, incarnation: 1}
+		m := &member{task: graph.TaskID{Job: "j"}, placement: &placement{run: 7}, startSent: true, generation: 1}
+		w := &worker{info: ListedWorker{ID: "w"}, listed: true, generation: 1}
 		l.logLost(w, m, "leases ended")
 		w.lastReport = report
 		l.logLost(w, m, "reborn")
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -45,14 +45,14 @@
 		startSent bool
 		// resumed reports whether the run was started from a checkpoint.
 		resumed bool
-		// startedAt is an instant after the worker's agent has taken the start.
+		// startedAt is the time at which its start was sent.
 		startedAt time.Time
 		// confirmedAt is the instant from which on the worker's reports must
 		// list the run, zero before the worker has answered.
 		confirmedAt time.Time
-		// incarnation is the number of the worker's incarnation that the start
-		// was sent to.
-		incarnation int64
+		// generation is the generation of its worker's starts to which the start
+		// belongs.
+		generation int64
 		// endNumber is the number of its end in the worker's reports.
 		endNumber    int64
 		ended        bool
@@ -182,14 +182,13 @@
 		w := t.pool.Worker(m.worker.info.ID)
 		w.Reserved = w.Reserved.Minus(demand)
 		w.Occupied = w.Occupied.Plus(demand)
-		m.startSent, m.progressedAt = true, now
+		m.startSent, m.startedAt, m.progressedAt = true, now, now
 		m.worker.updateExpectedRuns()
 		saved := p.job.progress.Saved(m.task)
 		m.resumed = saved != ""
-		m.incarnation = m.worker.agent.Start(t.ctx, agent.Order{
+		m.generation = m.worker.agent.Start(t.ctx, agent.Order{
 			Task: m.task, Run: p.run, Spec: p.job.progress.Job.Spec, Saved: saved,
 		})
-		m.startedAt = time.Now()
 	}
 	if !p.job.progress.Begun {
 		firstStartSeconds.Update(now.Sub(p.job.progress.Job.Due(p.Unit.Occurrence)).Seconds())
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -50,6 +50,20 @@
 	return nil
 }
 
+// applyGeneration records the generation in which a worker reports. A restart shows in
+// the first report of a later generation.
+func (t *term) applyGeneration(w *worker, e agent.Event) {
+	later := e.Generation > w.generation
+	if later || w.fencedIncarnation.IsZero() {
+		restarted := !w.fencedIncarnation.IsZero() && !e.Report.IncarnationStart.Equal(w.fencedIncarnation)
+		w.generation, w.fencedIncarnation = e.Generation, e.Report.IncarnationStart
+		if restarted {
+			t.forgetFailures(w)
+			t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members), "running", len(e.Report.Running))
+		}
+	}
+}
+
 // memberOf returns the member for which an order was sent, or nil if it has ended.
 func (t *term) memberOf(w *worker, o agent.Order) *member {
 	m := w.members[o.Task]
@@ -64,9 +78,7 @@
 func (t *term) applyRefusal(w *worker, e agent.Event) error {
 	t.Log.Write(event.TaskRefused, "task", e.Order.Task.String(), "run", e.Order.Run, "worker", string(w.info.ID),
 		"reason", e.Reason, "tries", e.Tries, "unanswered", e.Unanswered)
-	// A new incarnation of the worker refuses the starts that were sent to the one
-	// before, too. That is no sign of a later leader.
-	if e.Reason == agent.RefusedFence && e.Agent.Incarnation() == e.Agent.InitialIncarnation {
+	if e.Deposed {
 		return fmt.Errorf("worker %s has seen a higher epoch: %w", w.info.ID, ledger.ErrDeposed)
 	}
 	m := t.memberOf(w, e.Order)
@@ -104,14 +116,13 @@
 }
 
 // applyGone ends the runs of an unreachable worker whose leases have expired, except
-// for the runs that were started since.
+// for those of a later generation of starts.
 func (t *term) applyGone(w *worker, e agent.Event) {
 	if len(w.members) > 0 || w.unresolved {
 		t.Log.Write(event.WorkerGone, "worker", string(w.info.ID), "runs", len(w.members), "reason", e.Reason)
 	}
 	for _, m := range w.members {
-		if m.startSent && m.startedAt.After(e.At) {
-			// It was started after the leases were found to have expired.
+		if m.startSent && m.generation > e.Generation {
 			continue
 		}
 		t.logLost(w, m, "leases ended")
@@ -141,11 +152,7 @@
 		recheck = t.applyRunning(w, r, e.At) || recheck
 	}
 	w.agent.SetInDoubt(recheck)
-	if e.Incarnation > w.incarnation {
-		w.incarnation = e.Incarnation
-		t.forgetFailures(w)
-		t.Log.Write(event.WorkerReborn, "worker", string(w.info.ID), "runs", len(w.members), "running", len(running))
-	}
+	t.applyGeneration(w, e)
 	if !e.Report.Partial {
 		t.endMissing(w, running, e.RequestedAt)
 		t.endMissingUnplaced(w, e.Report.Running, e.RequestedAt)
@@ -233,12 +240,12 @@
 }
 
 // endMissing ends members that the report has to list and does not: the report was
-// requested after the worker had confirmed the start, or the worker has a new
-// incarnation, which refuses the starts that were sent to the one before.
+// requested after the worker had confirmed the start, or in a later generation, in
+// which the worker does not carry out the start any more.
 func (t *term) endMissing(w *worker, running map[graph.TaskID]int64, requestedAt time.Time) {
 	for id, m := range w.members {
 		expected := !m.confirmedAt.IsZero() && m.confirmedAt.Before(requestedAt)
-		if !m.startSent || !expected && m.incarnation >= w.incarnation {
+		if !m.startSent || !expected && m.generation >= w.generation {
 			continue
 		}
 		if run, ok := running[id]; ok && run == m.placement.run {
--- a/internal/lead/reports_test.go
+++ b/internal/lead/reports_test.go
@@ -11,6 +11,7 @@
 	"github.com/baobabquay/baobabquay/internal/plan"
 	"github.com/baobabquay/baobabquay/internal/pool"
 	"github.com/baobabquay/baobabquay/internal/store"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -80,12 +81,15 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		l := newListTerm(ctx)
 		w, _ := l.placeTasks(t)
-		gone := func(at time.Time) {
-			l.applyGone(w, agent.Event{Kind: agent.Gone, Agent: w.agent, Reason: "no answer", At: at})
+		for _, m := range w.members {
+			m.generation = 3
 		}
-		gone(time.Now().Add(-2 * time.Second))
+		gone := func(generation int64) {
+			l.applyGone(w, agent.Event{Kind: agent.Gone, Agent: w.agent, Reason: "no answer", Generation: generation, At: time.Now()})
+		}
+		gone(2)
 		assert.Equal(t, len(w.members), 4, "number of live runs")
-		gone(time.Now())
+		gone(3)
 		assert.Equal(t, len(w.members), 0)
 		cancel()
 		l.goroutines.Wait()
@@ -93,26 +97,55 @@
 }
 
 // TestStartCrossesLeaseEnd guards against a run that is given up because of leases that
-// expired while the decision was made that has started it: its start was sent after
-// that, and the worker accepts it.
+// expired while the decision was made that has started it: the agent takes its start
+// after that, and the worker accepts it. It also guards against a run that is not given
+// up although the agent has taken its start before and does not send it any more.
 func TestStartCrossesLeaseEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		l := newListTerm(ctx)
-		l.Calls.Start = func(context.Context, agent.Target, agent.Order, agent.Clock, int64) (agent.Answer, error) {
-			return agent.Answer{}, nil
-		}
-		w, _ := l.placeTasks(t)
-		turn := time.Now()
-		time.Sleep(10 * time.Millisecond)
-		expired := time.Now()
-		time.Sleep(10 * time.Millisecond)
-		for p := range l.placements {
-			l.startPlacement(p, turn)
-		}
-		l.applyGone(w, agent.Event{Kind: agent.Gone, Agent: w.agent, Reason: "no answer", At: expired})
-		assert.Equal(t, len(w.members), 4, "number of live runs")
-		cancel()
-		l.goroutines.Wait()
-	})
+	for _, startFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			l := newListTerm(ctx)
+			unreachable := make(chan struct{})
+			hold := l.Calls.Hold
+			l.Calls.Hold = func(ctx context.Context, to agent.Target, h agent.HoldRequest) (agent.Report, error) {
+				select {
+				case <-unreachable:
+					return agent.Report{}, errors.New("no answer")
+				default:
+					return hold(ctx, to, h)
+				}
+			}
+			l.Calls.Start = func(ctx context.Context, _ agent.Target, _ agent.Order, _ agent.Clock, _ int64) (agent.Answer, error) {
+				<-ctx.Done()
+				return agent.Answer{}, ctx.Err()
+			}
+			w, _ := l.placeTasks(t)
+			l.applyEvents(t)
+			start := func() {
+				for p := range l.placements {
+					l.startPlacement(p, time.Now())
+				}
+			}
+			if startFirst {
+				start()
+			}
+			close(unreachable)
+			w.agent.RequestReport()
+			time.Sleep(3 * time.Second)
+			if !startFirst {
+				start()
+			}
+			assert.Assert(t, len(l.inbox) > 0, "Gone was not emitted")
+			for len(l.inbox) > 0 {
+				assert.NilError(t, l.apply(<-l.inbox))
+			}
+			expected := 4
+			if startFirst {
+				expected = 0
+			}
+			assert.Equal(t, len(w.members), expected, "number of live runs, start first: %v", startFirst)
+			cancel()
+			l.goroutines.Wait()
+		})
+	}
 }
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -148,10 +148,10 @@
 
 		jobs    map[graph.ID]*job
 		workers map[pool.WorkerID]*worker
-		// nextIncarnation is, by removed worker, the incarnation number to start
+		// nextToken is, by removed worker, the number of the fencing token to start
 		// from if the worker is listed again.
-		nextIncarnation map[pool.WorkerID]int64
-		pool            *pool.Pool
+		nextToken map[pool.WorkerID]int64
+		pool      *pool.Pool
 		// members are the tasks of the placements that have not ended.
 		members map[graph.TaskID]*member
 		// unstarted is the set of placements whose starts have not been sent.
@@ -274,7 +274,7 @@
 	t := &term{
 		Scheduler: s, Term: elected, ctx: ctx, startedAt: time.Now(), inbox: make(chan any, inboxSize),
 		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), pool: pool.New(),
-		nextIncarnation: make(map[pool.WorkerID]int64), members: make(map[graph.TaskID]*member),
+		nextToken: make(map[pool.WorkerID]int64), members: make(map[graph.TaskID]*member),
 		unstarted: make(map[*placement]bool), placements: make(map[*placement]bool),
 		urgentPeaks: make(map[string]*plan.Peak),
 	}
--- a/internal/lead/workers.go
+++ b/internal/lead/workers.go
@@ -52,10 +52,14 @@
 		// unplaced has the runs that may be under way on the worker and are not placed
 		// in this term.
 		unplaced map[runKey]unplacedRun
-		// incarnation is the number of the worker's incarnation that reported last,
-		// and incarnationStart its start, zero before the first report.
-		incarnation      int64
-		incarnationStart time.Time
+		// generation is the generation of starts in which the worker reported last.
+		// The worker carries out no start of an earlier one.
+		generation int64
+		// incarnationStart is the start of the incarnation that reported last, and
+		// fencedIncarnation that of the last one known to have seen its fencing
+		// token. They are zero before the first report.
+		incarnationStart  time.Time
+		fencedIncarnation time.Time
 		// failures counts the failed runs since the last successful one.
 		failures int
 		// quarantines counts the quarantines since the last successful run.
@@ -185,12 +189,11 @@
 
 // addWorker adds a worker and starts its agent.
 func (t *term) addWorker(info ListedWorker) *worker {
-	incarnation := t.nextIncarnation[info.ID]
-	w := &worker{info: info, members: make(map[graph.TaskID]*member), incarnation: incarnation}
+	w := &worker{info: info, members: make(map[graph.TaskID]*member)}
 	t.workers[info.ID] = w
 	a := agent.New(agent.Deps{
 		Calls: t.Calls, Target: agent.Target{ID: info.ID, Address: info.Address}, Limits: t.Limits,
-		Epoch: t.Epoch, InitialIncarnation: incarnation, LastRenewal: t.LastRenewal,
+		Epoch: t.Epoch, InitialToken: t.nextToken[info.ID], LastRenewal: t.LastRenewal,
 		Go: t.goroutines.Go, Emit: func(e agent.Event) { t.post(e) }, Log: t.Log,
 	})
 	ctx, stop := context.WithCancel(t.ctx)
@@ -260,7 +263,7 @@
 	t.resolveWorker(w)
 	delete(t.workers, w.info.ID)
 	// The worker may be listed again, in the same incarnation or in another.
-	t.nextIncarnation[w.info.ID] = w.agent.Incarnation() + 1
+	t.nextToken[w.info.ID] = w.agent.NextToken()
 	t.pool.Remove(w.info.ID)
 	t.pending.removed = append(t.pending.removed, w.info.ID)
 	t.requestCommit()
@@ -276,8 +279,8 @@
 
 // logLost logs that a run is given up, with the facts behind the decision: the time
 // from the worker's confirmation of the start to the request of its last report,
-// the incarnations that the start went to and that reported last, and the counts
-// of that report.
+// the generations of the start and of the last report, and the counts of that
+// report.
 func (t *term) logLost(w *worker, m *member, reason string) {
 	askedAfter := "unconfirmed"
 	switch {
@@ -288,7 +291,7 @@
 	}
 	t.Log.Write(event.TaskLost, "task", m.task.String(), "run", m.placement.run,
 		"worker", string(w.info.ID), "reason", reason,
-		"askedAfter", askedAfter, "sent", m.startSent, "orderLife", m.incarnation, "workerLife", w.incarnation,
+		"askedAfter", askedAfter, "sent", m.startSent, "orderLife", m.generation, "workerLife", w.generation,
 		"running", w.lastReport.running, "ended", w.lastReport.ended, "silent", w.unreachable, "listed", w.listed)
 }
 
--- a/internal/lead/workers_test.go
+++ b/internal/lead/workers_test.go
@@ -44,7 +44,7 @@
 			Log: event.Discard(), Calls: agent.Calls{Hold: hold}, ReadWorker: readWorker, Queues: queues.NewActiveConfig(event.Discard()),
 		}),
 		Term: elect.Term{Epoch: 1, LastRenewal: time.Now}, ctx: ctx, startedAt: time.Now(), inbox: make(chan any, inboxSize),
-		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), nextIncarnation: make(map[pool.WorkerID]int64),
+		jobs: make(map[graph.ID]*job), workers: make(map[pool.WorkerID]*worker), nextToken: make(map[pool.WorkerID]int64),
 		pool: pool.New(), members: make(map[graph.TaskID]*member), unstarted: make(map[*placement]bool),
 		placements: make(map[*placement]bool),
 	}
@@ -201,7 +201,7 @@
 			report := agent.Event{Kind: agent.Reported, Agent: w.agent, Report: agent.Report{IncarnationStart: time.Unix(100, 0)}, At: time.Now()}
 			assert.NilError(t, l.applyAgent(report))
 			assert.Assert(t, !p.QuarantinedUntil.IsZero(), "ended by a report of the same incarnation")
-			report.Incarnation, report.Report.IncarnationStart = w.incarnation+1, time.Unix(200, 0)
+			report.Generation, report.Report.IncarnationStart = w.generation+1, time.Unix(200, 0)
 			assert.NilError(t, l.applyAgent(report))
 			assert.Assert(t, p.QuarantinedUntil.IsZero() && !p.Stalled)
 			assert.Equal(t, w.quarantines, 0)
--- a/internal/trial/link_test.go
+++ b/internal/trial/link_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabquay/baobabquay/internal/agent"
 	"github.com/baobabquay/baobabquay/internal/ledger"
+	"github.com/baobabquay/baobabquay/internal/pool"
 	"github.com/baobabquay/baobabquay/internal/store"
 )
 
@@ -25,6 +26,8 @@
 		// and to the workers work again.
 		storeCutUntil   time.Time
 		workersCutUntil time.Time
+		// workerCutUntil has the same for the connections to single workers.
+		workerCutUntil map[pool.WorkerID]time.Time
 		// frozenUntil is when a suspended instance continues. Its calls block
 		// until then.
 		frozenUntil time.Time
@@ -206,14 +209,53 @@
 	}
 }
 
+// cutWorker cuts the connection to a worker for the given time.
+func (l *link) cutWorker(id pool.WorkerID, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.workerCutUntil == nil {
+		l.workerCutUntil = make(map[pool.WorkerID]time.Time)
+	}
+	l.workerCutUntil[id] = time.Now().Add(d)
+}
+
+// callWorker performs a call to a worker, whose connection may be cut.
+func callWorker[T any](ctx context.Context, l *link, s step, to agent.Target, call func(context.Context) (T, error)) (T, error) {
+	var zero T
+	if err := l.awaitWorker(ctx, to.ID); err != nil {
+		return zero, err
+	}
+	v, err := performCall(ctx, l, s, false, errNoAnswer, call)
+	if err := l.awaitWorker(ctx, to.ID); err != nil {
+		return zero, err
+	}
+	return v, err
+}
+
+// awaitWorker blocks while the connection to a worker is cut.
+func (l *link) awaitWorker(ctx context.Context, id pool.WorkerID) error {
+	l.mu.Lock()
+	wait := time.Until(l.workerCutUntil[id])
+	l.mu.Unlock()
+	if wait <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", errNoAnswer, ctx.Err())
+	case <-time.After(wait):
+		return nil
+	}
+}
+
 func (l *link) calls(c agent.Calls) agent.Calls {
 	return agent.Calls{
 		Start: func(ctx context.Context, to agent.Target, o agent.Order, until agent.Clock, fence int64) (agent.Answer, error) {
-			return performCall(ctx, l, stepStart, false, errNoAnswer,
+			return callWorker(ctx, l, stepStart, to,
 				func(ctx context.Context) (agent.Answer, error) { return c.Start(ctx, to, o, until, fence) })
 		},
 		Stop: func(ctx context.Context, to agent.Target, o agent.Order, fence int64) (agent.Answer, error) {
-			return performCall(ctx, l, stepStop, false, errNoAnswer,
+			return callWorker(ctx, l, stepStop, to,
 				func(ctx context.Context) (agent.Answer, error) { return c.Stop(ctx, to, o, fence) })
 		},
 		Hold: func(ctx context.Context, to agent.Target, h agent.HoldRequest) (agent.Report, error) {
@@ -221,7 +263,7 @@
 			if h.Until == 0 {
 				s = stepContact
 			}
-			return performCall(ctx, l, s, false, errNoAnswer,
+			return callWorker(ctx, l, s, to,
 				func(ctx context.Context) (agent.Report, error) { return c.Hold(ctx, to, h) })
 		},
 	}
--- a/internal/trial/outage_test.go
+++ b/internal/trial/outage_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/graph"
+	"github.com/baobabquay/baobabquay/internal/pool"
 	"gotest.tools/v3/assert"
 )
 
@@ -95,3 +97,50 @@
 	})
 	return delay
 }
+
+// TestStartGivenUpWhileSent guards against a task that runs on two workers: its start
+// to a worker that was cut off during an outage of the store was given up, since the
+// leases had expired, and was sent again under a new lease while the task was started
+// elsewhere.
+func TestStartGivenUpWhileSent(t *testing.T) {
+	for _, o := range outages {
+		for seed := range uint64(25) {
+			t.Run(fmt.Sprintf("%s/%d", o.name, seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				runHarness(t, func(h *harness) { h.cutOffDuringOutage(random, o.fault) })
+			})
+		}
+	}
+}
+
+// cutOffDuringOutage cuts all workers off, each from before the end of an outage of the
+// store until after it, while tasks wait to be started.
+func (h *harness) cutOffDuringOutage(random *rand.Rand, f fault) {
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(random.Int64N(int64(high-low)))
+	}
+	time.Sleep(2 * time.Second)
+	ids := []graph.ID{batchJob, gangJob, urgentJob}
+	steps := []graph.Step{
+		{Count: 8, Demand: gpu(1), Estimate: 2 * time.Second}, {Count: 8, Demand: gpu(1), After: []int{0}, Estimate: 2 * time.Second},
+	}
+	h.submit(0, "normal", "ks", ids[0], steps...)
+	h.submit(1, "normal", "ks", ids[1], steps...)
+	time.Sleep(200 * time.Millisecond)
+	l := h.leader().current().link
+	restore := h.startOutage(f)
+	end := time.Now().Add(between(5*time.Second, 8*time.Second))
+	for _, id := range []pool.WorkerID{"w1", "w2", "w3", "w4"} {
+		before, after := between(200*time.Millisecond, 2400*time.Millisecond), between(200*time.Millisecond, 1600*time.Millisecond)
+		time.AfterFunc(time.Until(end)-before, func() { l.cutWorker(id, before+after) })
+	}
+	time.Sleep(time.Until(end))
+	restore()
+	h.submit(2, "urgent", "kn", ids[2], graph.Step{Count: 4, Demand: gpu(1), Estimate: time.Second})
+	time.Sleep(25 * time.Second)
+	for i, queue := range []string{"normal", "normal", "urgent"} {
+		key := map[string]string{"normal": "ks", "urgent": "kn"}[queue]
+		assert.Equal(h.t, h.phase(queue, key, ids[i]), "completed", "job %s", ids[i])
+	}
+	assert.DeepEqual(h.t, h.check(), []string(nil))
+}
