lead: a run isn't given up because its worker lists another run of its task

Cause: endMissing kept one run for each task of a report. If a worker lists two runs of a task, one that this leader has placed and a former one that began late, the second entry hid the first: the placed run counted as "not listed" and its task was placed elsewhere. endMissingUnplaced compared runs in a way of its own.

Fix: both look runs up by task and number.

--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -142,9 +142,9 @@
 	}
 	w.answered, w.unreachable, w.incarnationStart = true, false, e.Report.IncarnationStart
 	w.lastReport = reportSummary{e.RequestedAt, len(e.Report.Running), len(e.Report.Ended)}
-	running := make(map[graph.TaskID]int64, len(e.Report.Running))
+	running := make(map[runKey]bool, len(e.Report.Running))
 	for _, r := range e.Report.Running {
-		running[r.Task] = r.Run
+		running[runKey{r.Task, r.Run}] = true
 	}
 	t.applyEnds(w, e.Report)
 	recheck := false
@@ -155,7 +155,7 @@
 	t.applyGeneration(w, e)
 	if !e.Report.Partial {
 		t.endMissing(w, running, e.RequestedAt)
-		t.endMissingUnplaced(w, e.Report.Running, e.RequestedAt)
+		t.endMissingUnplaced(w, running, e.RequestedAt)
 		t.resolveWorker(w)
 	}
 	t.updateClosed(w)
@@ -242,13 +242,13 @@
 // endMissing ends members that the report has to list and does not: the report was
 // requested after the worker had confirmed the start, or in a later generation, in
 // which the worker does not carry out the start any more.
-func (t *term) endMissing(w *worker, running map[graph.TaskID]int64, requestedAt time.Time) {
+func (t *term) endMissing(w *worker, running map[runKey]bool, requestedAt time.Time) {
 	for id, m := range w.members {
 		expected := !m.confirmedAt.IsZero() && m.confirmedAt.Before(requestedAt)
 		if !m.startSent || !expected && m.generation >= w.generation {
 			continue
 		}
-		if run, ok := running[id]; ok && run == m.placement.run {
+		if running[runKey{id, m.placement.run}] {
 			continue
 		}
 		t.logLost(w, m, "not listed")
--- a/internal/lead/reports_test.go
+++ b/internal/lead/reports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +75,39 @@
 	})
 }
 
+// TestTwoRunsListed guards against a run that is given up as not listed because its worker
+// lists another run of the same task beside it, which began late.
+func TestTwoRunsListed(t *testing.T) {
+	for _, formerFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			l := newListTerm(ctx)
+			var stopped []int64
+			l.Calls.Stop = func(_ context.Context, _ agent.Target, o agent.Order, _ int64) (agent.Answer, error) {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				stopped = append(stopped, o.Run)
+				return agent.Answer{}, nil
+			}
+			w, _ := l.placeTasks(t)
+			r := agent.Report{IncarnationStart: time.Unix(100, 0)}
+			former := agent.Run{Task: graph.TaskID{Job: "j", Index: 2}, Run: -1}
+			for id, m := range w.members {
+				r.Running = append(r.Running, agent.Run{Task: id, Run: m.placement.run})
+			}
+			if r.Running = append(r.Running, former); formerFirst {
+				slices.Reverse(r.Running)
+			}
+			l.applyReport(w, agent.Event{Agent: w.agent, Report: r, RequestedAt: time.Now(), At: time.Now()})
+			assert.Equal(t, len(w.members), 4, "number of live runs, former run first: %v", formerFirst)
+			synctest.Wait()
+			assert.DeepEqual(t, stopped, []int64{-1})
+			cancel()
+			l.goroutines.Wait()
+		})
+	}
+}
+
 // TestStartedAfterLeaseEnd guards against a run that is given up because of leases
 // that expired before its start was sent, although the worker accepts the start.
 func TestStartedAfterLeaseEnd(t *testing.T) {
--- a/internal/lead/usage.go
+++ b/internal/lead/usage.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/baobabquay/baobabquay/internal/agent"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/pool"
 	"github.com/baobabquay/baobabquay/internal/share"
@@ -111,10 +110,9 @@
 
 // endMissingUnplaced records the end of the runs that are not placed and that a full report
 // does not list.
-func (t *term) endMissingUnplaced(w *worker, running []agent.Run, requestedAt time.Time) {
+func (t *term) endMissingUnplaced(w *worker, running map[runKey]bool, requestedAt time.Time) {
 	for key, r := range w.unplaced {
-		listed := slices.ContainsFunc(running, func(r agent.Run) bool { return r.Task == key.task && r.Run == key.run })
-		if !listed && !r.seenAt.After(requestedAt) {
+		if !running[key] && !r.seenAt.After(requestedAt) {
 			t.endUnplaced(w, key)
 		}
 	}
