lead: no start is sent under a lease that has ended

What callers saw: after an outage of the store that outlasts the leases, tasks were placed up to some hundred times before one start was accepted.

Cause: the lease of a start ends Bound after the last renewal of the leader's own lease at the latest. When the store returns, the waiting placements are stored and started at once, up to 0.4 s before the next renewal. Their leases are over when they are sent, the workers refuse them as late, and the tasks are placed on the next worker.

Fix: a transaction of the term that the store has acknowledged counts like a renewal. It checks the sequence row, which each acquisition writes, so that no successor had begun when it was sent, and a successor waits for the leases from its acquisition on. Where an earlier attempt has taken effect, the time of the first one counts. Beside that, no start is sent with less of a lease than its four tries may take; it waits for the next confirmation.

--- a/internal/elect/acquire.go
+++ b/internal/elect/acquire.go
@@ -248,9 +248,16 @@
 	e.ledEpoch = epoch
 	e.formerVersion = max(e.formerVersion, version)
 	e.renewedAt = e.attempt.sentAt
+	writer := ledger.NewWriter(e.Table, epoch, version)
 	return Term{
-		Epoch: epoch, Version: version, Writer: ledger.NewWriter(e.Table, epoch, version),
-		LastRenewal:       e.lastRenewal,
+		Epoch: epoch, Version: version, Writer: writer,
+		LastRenewal: func() time.Time {
+			renewed, confirmed := e.lastRenewal(), writer.Confirmed()
+			if confirmed.After(renewed) {
+				return confirmed
+			}
+			return renewed
+		},
 		FormerChange:      e.attempt.formerChange,
 		LeaseVersion:      e.LeaseVersion,
 		FormerLeaders:     slices.DeleteFunc(slices.Clone(former), func(a netip.AddrPort) bool { return a == e.Self.Peer }),
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -39,8 +39,9 @@
 		// MarkFormerSettled records that the progress of the former leaders is
 		// stored. The next renewal drops them from the lease.
 		MarkFormerSettled func()
-		// LastRenewal returns the time at which the last renewal that the store
-		// acknowledged was sent.
+		// LastRenewal returns the time at which the last renewal or transaction of
+		// the term that the store acknowledged was sent. No successor had acquired
+		// the lease by then.
 		LastRenewal func() time.Time
 		// LeaseVersion returns the latest version of the lease that is known
 		// here.
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -66,6 +66,10 @@
 	}
 )
 
+// minStartLease is the shortest lease with which a start is sent. It covers four tries
+// without an answer.
+const minStartLease = 1600 * time.Millisecond
+
 // place creates the placement of a unit for which plan.Decide has chosen workers.
 func (t *term) place(now time.Time, s plan.Start) {
 	j := t.jobs[s.Unit.Progress.Job.ID]
@@ -143,6 +147,10 @@
 	limits := t.limits()
 	t.withdrawOverCap(limits)
 	t.startsLimited = false
+	if len(t.unstarted) > 0 && !t.canLease(now) {
+		t.startsLimited = true
+		return
+	}
 	for _, p := range t.startOrder() {
 		if !p.stored || !t.hasCapacity(p) || !t.capPermits(p, limits) {
 			continue
@@ -156,6 +164,12 @@
 	}
 }
 
+// canLease reports whether a lease that is granted now outlasts the tries of a start.
+// The store may not have confirmed for a while that this instance leads.
+func (t *term) canLease(now time.Time) bool {
+	return t.LastRenewal().Add(t.Limits.Bound).Sub(now) >= min(minStartLease, t.Limits.Bound/2)
+}
+
 // hasCapacity reports whether all tasks of p fit beside the runs that may be under
 // way.
 func (t *term) hasCapacity(p *placement) bool {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -164,7 +164,7 @@
 		// urgentPeaks has the recent use of accelerators by urgent units.
 		urgentPeaks map[string]*plan.Peak
 		// startLimiter bounds the starts, and startsLimited reports whether some wait for
-		// it.
+		// it or for the leader's lease.
 		startLimiter  *startLimiter
 		startsLimited bool
 		// leaving has the draining workers that say how long they stay, and the
--- a/internal/lead/startrate.go
+++ b/internal/lead/startrate.go
@@ -22,8 +22,8 @@
 	// startOverhead is the size in bytes of a start beside its specification: the headers
 	// of the call and of its packets.
 	startOverhead = 700
-	// startRetryInterval is the time after which placements that wait for the link are
-	// considered again.
+	// startRetryInterval is the time after which placements that wait for the link, or for
+	// the leader's lease, are considered again.
 	startRetryInterval = 20 * time.Millisecond
 )
 
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/store"
@@ -10,8 +11,8 @@
 )
 
 type (
-	// Writer commits the leader's transactions in the order of the calls. It is
-	// not safe for concurrent use.
+	// Writer commits the leader's transactions in the order of the calls. Only
+	// Confirmed is safe for concurrent use.
 	Writer struct {
 		table store.Table
 		epoch int64
@@ -22,6 +23,10 @@
 		// lastLatency is the time that the store took to answer the attempt that
 		// decided the last transaction.
 		lastLatency time.Duration
+
+		mu sync.Mutex
+		// confirmedAt is a time at or before which the last transaction was sent.
+		confirmedAt time.Time
 	}
 
 	// Batch holds the writes of one transaction.
@@ -34,7 +39,9 @@
 	attempt struct {
 		version int64
 		err     error
-		took    time.Duration
+		// sentAt is a time at or before which the attempt that took effect was sent.
+		sentAt time.Time
+		took   time.Duration
 		// timedOut reports whether no answer came within callTimeout.
 		timedOut bool
 	}
@@ -84,6 +91,21 @@
 // Next returns the number of the next transaction.
 func (w *Writer) Next() int64 { return w.number + 1 }
 
+// Confirmed returns a time at or before which the last transaction that has taken
+// effect was sent, zero if there was none. No other leader had begun a term by then,
+// since that would have changed the sequence row, which each transaction checks.
+func (w *Writer) Confirmed() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmedAt
+}
+
+func (w *Writer) confirm(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmedAt = at
+}
+
 // Commit stores b. It retries until b is stored or ctx ends. The error wraps
 // ErrDeposed if another leader has begun a term, and store.ErrInvalid if the store
 // rejects b for good.
@@ -109,6 +131,7 @@
 func (w *Writer) send(ctx context.Context, txn store.Txn, value []byte) (int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	firstSent := time.Now()
 	results := make(chan attempt, maxInFlight)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -122,9 +145,12 @@
 				pending++
 				go func() {
 					begun := time.Now()
-					version, err := w.try(ctx, txn, value)
+					version, earlier, err := w.try(ctx, txn, value)
 					took := time.Since(begun)
-					results <- attempt{version, err, took, took >= callTimeout}
+					if earlier {
+						begun = firstSent
+					}
+					results <- attempt{version, err, begun, took, took >= callTimeout}
 				}()
 			}
 			if last.timedOut {
@@ -134,6 +160,9 @@
 			pending--
 			if r.err == nil || errors.Is(r.err, ErrDeposed) || errors.Is(r.err, store.ErrInvalid) {
 				w.lastLatency = r.took
+				if r.err == nil {
+					w.confirm(r.sentAt)
+				}
 				return r.version, r.err
 			}
 			if !r.timedOut || !last.timedOut {
@@ -147,16 +176,16 @@
 // try commits once. On a conflict, the sequence row in the error shows whether an
 // earlier attempt whose answer was lost has taken effect. A separate read of the
 // row could be stale.
-func (w *Writer) try(ctx context.Context, txn store.Txn, value []byte) (int64, error) {
+func (w *Writer) try(ctx context.Context, txn store.Txn, value []byte) (version int64, earlier bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	version, err := w.table.Commit(ctx, txn)
+	version, err = w.table.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
-		return version, err
+		return version, false, err
 	}
 	if row := conflict.Row(SequenceKey); string(row.Value) == string(value) {
-		return row.Version, nil
+		return row.Version, true, nil
 	}
-	return 0, ErrDeposed
+	return 0, false, ErrDeposed
 }
--- a/internal/trial/outage_test.go
+++ b/internal/trial/outage_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,6 +99,37 @@
 	return delay
 }
 
+// TestExpiredLeaseAfterOutage guards against starts that workers refuse as late, one
+// after the other, when the store is back: the leader's lease is not renewed yet, so that
+// the leases of the starts have ended before they are sent.
+func TestExpiredLeaseAfterOutage(t *testing.T) {
+	for _, o := range outages {
+		for outage := 5 * time.Second; outage <= 8*time.Second; outage += 250 * time.Millisecond {
+			runHarness(t, func(h *harness) {
+				time.Sleep(2 * time.Second)
+				h.submit(0, "normal", "ks", batchJob, graph.Step{Count: 16, Demand: gpu(1), Estimate: 2 * time.Second},
+					graph.Step{Count: 16, Demand: gpu(1), After: []int{0}, Estimate: 2 * time.Second})
+				time.Sleep(200 * time.Millisecond)
+				restore := h.startOutage(o.fault)
+				time.Sleep(outage)
+				restore()
+				time.Sleep(12 * time.Second)
+				refused := 0
+				h.mu.Lock()
+				for _, line := range h.logLines {
+					if strings.Contains(line, `"msg"="taskRefused"`) {
+						refused++
+					}
+				}
+				h.mu.Unlock()
+				assert.Equal(t, refused, 0, "starts refused after an outage of %v that %s", outage, o.name)
+				assert.Equal(t, h.phase("normal", "ks", batchJob), "completed")
+				assert.DeepEqual(t, h.check(), []string(nil))
+			})
+		}
+	}
+}
+
 // TestStartGivenUpWhileSent guards against a task that runs on two workers: its start
 // to a worker that was cut off during an outage of the store was given up, since the
 // leases had expired, and was sent again under a new lease while the task was started
