agent: a worker isn't given up sooner because the store was away

Cause: a lease ends 6 s after the leader's last renewal at the latest, also when its worker has answered since. After an outage of about that length all leases are over, and the first call that fails has the worker given up, although it may have been silent for less than a second. What it has ended in the meantime, and has not listed, runs again.

Fix: a worker is given up when its leases have expired and it has been silent for as long as a lease that its last call could have renewed, so as soon as without an outage. It counts as unreachable from then on: before, it took one failed call to give its runs up, two to keep new ones away.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -472,7 +472,7 @@
 	a.mu.Lock()
 	a.failedCalls++
 	failedCalls, generation := a.failedCalls, a.generation
-	gone := incarnationEnded || a.leasesExpired()
+	gone := incarnationEnded || a.leasesExpired() && a.silentForLease()
 	if gone {
 		a.endGeneration()
 	}
@@ -506,6 +506,14 @@
 	return a.workerClock+passed > a.leaseEnd+runEndMargin
 }
 
+// silentForLease reports whether the worker has been silent for as long as a lease that
+// its last call could have renewed. During an outage of the store leases end sooner, and
+// a worker that is cut off for a moment then may have ended runs that it has not listed
+// yet. The caller must hold mu.
+func (a *Agent) silentForLease() bool {
+	return a.clockReadAt.IsZero() || time.Since(a.lastReport) > a.Limits.Lease
+}
+
 // pause waits for d and reports whether it did so before ctx ended.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -128,6 +128,8 @@
 		t.logLost(w, m, "leases ended")
 		t.endMember(m, graph.Lost, "")
 	}
+	w.unreachable = true
+	t.updateClosed(w)
 	t.endAllUnplaced(w)
 	t.resolveWorker(w)
 	if !w.listed && w.idle() {
