agent, platform: orders to a worker take as many connections as they need

Cause: each stop is a call, a call takes 40 ms there, and four connections to a worker, one of them taken by the call that holds its leases, carry 75 orders a second. The time limit of a try counted the wait for a connection, so that most of the stops were given up after 0.35 s and queued again.

Fix: an order waits for a slot of its worker before its time limit begins. The tries of a stop double their limit up to 1.4 s. A stop that waits is given up without a call when the leases have expired.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -115,6 +115,8 @@
 		// run to end.
 		callNow    bool
 		cancelHold context.CancelFunc
+		// slots are those of the orders to the worker.
+		slots orderSlots
 		// listedAddress is the worker's address in the list of workers, and
 		// answeredAddress the one at which the present incarnation has
 		// answered.
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
@@ -18,8 +19,11 @@
 
 const (
 	// orderTimeout bounds one try of an order. It allows for two round trips
-	// between regions and a busy worker.
-	orderTimeout = 350 * time.Millisecond
+	// between regions and a busy worker. It does not count the time for which the
+	// order waits for others to the worker. It doubles with each try of a stop, up to
+	// maxStopTimeout: the answers of a busy worker take longer.
+	orderTimeout   = 350 * time.Millisecond
+	maxStopTimeout = 4 * orderTimeout
 	// maxStartTries is the number of tries after which a start is abandoned.
 	maxStartTries = 4
 	// orderRetryDelay is the pause between tries.
@@ -129,6 +133,10 @@
 
 // sendStart sends one try of a start, unless the generation of the start has ended.
 func (a *Agent) sendStart(ctx context.Context, s startOrder) (Answer, error) {
+	if err := a.slots.acquire(ctx); err != nil {
+		return Answer{}, fmt.Errorf("start run %d: %w: %w", s.Run, ErrNotCarriedOut, err)
+	}
+	defer a.slots.release()
 	a.mu.Lock()
 	if a.generation != s.generation {
 		a.mu.Unlock()
@@ -183,20 +191,8 @@
 // answered or its leases have expired. The reason is that of a previous refusal
 // of the start, if any.
 func (a *Agent) stop(ctx context.Context, o Order, reason string) bool {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		to := a.target()
-		_, err := a.Calls.Stop(callCtx, to, o, a.Fence())
-		cancel()
-		a.mu.Lock()
-		leasesExpired := a.failedCalls > 0 && a.leasesExpired()
-		if leasesExpired {
-			a.endGeneration()
-		}
-		a.mu.Unlock()
-		// Once the leases have expired, the run has ended, or the worker refuses
-		// it as late.
-		if err == nil || a.incarnationEnded(to, err) || leasesExpired {
+	for timeout := orderTimeout; ctx.Err() == nil; timeout = min(2*timeout, maxStopTimeout) {
+		if a.sendStop(ctx, o, timeout) || a.runsEnded() {
 			a.Emit(Event{Kind: Dropped, Agent: a, Order: o, Reason: reason, At: time.Now()})
 			return true
 		}
@@ -206,3 +202,32 @@
 	}
 	return false
 }
+
+// sendStop sends one try of a stop, unless all runs have ended, and reports whether the
+// worker refuses the run from now on.
+func (a *Agent) sendStop(ctx context.Context, o Order, timeout time.Duration) bool {
+	if err := a.slots.acquire(ctx); err != nil {
+		return false // ctx has ended.
+	}
+	defer a.slots.release()
+	if a.runsEnded() {
+		return true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	to := a.target()
+	_, err := a.Calls.Stop(callCtx, to, o, a.Fence())
+	return err == nil || a.incarnationEnded(to, err)
+}
+
+// runsEnded reports whether the worker does not answer and all its leases have expired, so
+// that its runs have ended and it refuses starts of this generation as late.
+func (a *Agent) runsEnded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failedCalls == 0 || !a.leasesExpired() {
+		return false
+	}
+	a.endGeneration()
+	return true
+}
