agent: a start isn't sent after the stop of its run

Fix: a stop marks the start of its run if that is still being sent, and no further try is made. The answer to the stop settles the run: the worker refuses a run that was stopped before it came.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,9 +89,10 @@
 		// the number of its fencing token within the epoch.
 		generation int64
 		token      int64
-		// pendingStarts counts the starts of the generation that are being sent, and
+		// pendingStarts has the starts of the generation that are being sent. The value
+		// is true for a run that is to be stopped, whose start is not sent any more.
 		// unansweredStart reports whether a try of one of its starts had no answer.
-		pendingStarts   int
+		pendingStarts   map[runKey]bool
 		unansweredStart bool
 		// leaseEnd is the latest end of the leases of the present incarnation.
 		leaseEnd Clock
@@ -179,7 +180,7 @@
 // New returns an agent that has not called its worker yet.
 func New(d Deps) *Agent {
 	return &Agent{
-		Deps: d, wake: make(chan struct{}, 1), created: time.Now(), token: d.InitialToken,
+		Deps: d, wake: make(chan struct{}, 1), created: time.Now(), token: d.InitialToken, pendingStarts: make(map[runKey]bool),
 		listedAddress: d.Target.Address, answeredAddress: d.Target.Address,
 	}
 }
@@ -207,10 +208,11 @@
 // fencing token rises. The caller must hold mu.
 func (a *Agent) endGeneration() {
 	a.generation++
-	if a.pendingStarts > 0 || a.unansweredStart {
+	if len(a.pendingStarts) > 0 || a.unansweredStart {
 		a.token++
 	}
-	a.pendingStarts, a.unansweredStart = 0, false
+	clear(a.pendingStarts)
+	a.unansweredStart = false
 }
 
 // IncarnationStart returns the start of the worker's present incarnation, zero
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -6,16 +6,25 @@
 	"time"
 
 	"github.com/baobabquay/baobabquay/internal/event"
+	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/pkg/errors"
 )
 
-// startOrder is a start with the generation to which it belongs, and the fencing
-// token of that generation.
-type startOrder struct {
-	Order
-	fence      int64
-	generation int64
-}
+type (
+	// startOrder is a start with the generation to which it belongs, and the fencing
+	// token of that generation.
+	startOrder struct {
+		Order
+		fence      int64
+		generation int64
+	}
+
+	// runKey identifies a run.
+	runKey struct {
+		task graph.TaskID
+		run  int64
+	}
+)
 
 const (
 	// orderTimeout bounds one try of an order. It allows for two round trips
@@ -30,8 +39,12 @@
 	orderRetryDelay = 40 * time.Millisecond
 )
 
-// errGenerationEnded means that a start was not sent, since its generation has ended.
-var errGenerationEnded = errors.New("generation of the start has ended")
+var (
+	// errGenerationEnded means that a start was not sent, since its generation has ended.
+	errGenerationEnded = errors.New("generation of the start has ended")
+	// errStopped means that a start was not sent, since its run is to be stopped.
+	errStopped = errors.New("run is to be stopped")
+)
 
 // Start sends a start order in a goroutine of its own, whose result is emitted
 // as an event. The start belongs to the present generation, whose number Start
@@ -41,7 +54,7 @@
 func (a *Agent) Start(ctx context.Context, o Order) int64 {
 	a.mu.Lock()
 	s := startOrder{Order: o, fence: a.fence(), generation: a.generation}
-	a.pendingStarts++
+	a.pendingStarts[o.key()] = false
 	// Gone is not emitted before this lease has expired.
 	a.grantLease(time.Now())
 	a.mu.Unlock()
@@ -50,12 +63,14 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if a.generation == s.generation {
-			a.pendingStarts--
+			delete(a.pendingStarts, o.key())
 		}
 	})
 	return s.generation
 }
 
+func (o *Order) key() runKey { return runKey{o.Task, o.Run} }
+
 func (a *Agent) start(ctx context.Context, s startOrder) {
 	o := s.Order
 	unanswered, retriedLate := false, false
@@ -69,6 +84,10 @@
 			a.RequestReport()
 			return
 		}
+		if errors.Is(err, errStopped) {
+			// The answer to the stop settles the run.
+			return
+		}
 		if err == nil && answer.Refused == "" {
 			a.Emit(Event{Kind: Started, Agent: a, Order: o, At: time.Now()})
 			return
@@ -131,7 +150,8 @@
 	return !unanswered || reason == RefusedFence && fence == a.Fence()
 }
 
-// sendStart sends one try of a start, unless the generation of the start has ended.
+// sendStart sends one try of a start, unless the generation of the start has ended or the
+// run is to be stopped.
 func (a *Agent) sendStart(ctx context.Context, s startOrder) (Answer, error) {
 	if err := a.slots.acquire(ctx); err != nil {
 		return Answer{}, fmt.Errorf("start run %d: %w: %w", s.Run, ErrNotCarriedOut, err)
@@ -142,6 +162,10 @@
 		a.mu.Unlock()
 		return Answer{}, errGenerationEnded
 	}
+	if a.pendingStarts[s.key()] {
+		a.mu.Unlock()
+		return Answer{}, errStopped
+	}
 	until, clock := a.grantLease(time.Now()), a.workerClock
 	a.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -178,8 +202,14 @@
 }
 
 // Stop stops a run in a goroutine of its own. It retries until the worker
-// answers or ctx ends. The end of the run arrives with a report.
+// answers or ctx ends. The end of the run arrives with a report. If its start is still
+// being sent, no further try is made.
 func (a *Agent) Stop(ctx context.Context, o Order) {
+	a.mu.Lock()
+	if _, ok := a.pendingStarts[o.key()]; ok {
+		a.pendingStarts[o.key()] = true
+	}
+	a.mu.Unlock()
 	a.Go(func() {
 		if a.stop(ctx, o, "") {
 			a.wakeLoop()
--- a/internal/agent/slots_test.go
+++ b/internal/agent/slots_test.go
@@ -139,6 +139,54 @@
 	})
 }
 
+// TestStoppedBeforeStart guards against a start that waits for others to a far worker and
+// is sent although its run has been stopped meanwhile: the worker would begin the task of a
+// cancelled job.
+func TestStoppedBeforeStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks = 400
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		starts := 0
+		w := &farWorker{}
+		settled := make(map[graph.TaskID]bool)
+		a := New(Deps{
+			Calls: Calls{Stop: w.stop, Start: func(context.Context, Target, Order, Clock, int64) (Answer, error) {
+				mu.Lock()
+				starts++
+				mu.Unlock()
+				time.Sleep(roundTrip)
+				return Answer{}, nil
+			}},
+			LastRenewal: time.Now, Go: group.Go, Log: event.Discard(),
+			Emit: func(e Event) {
+				mu.Lock()
+				defer mu.Unlock()
+				if e.Kind == Dropped {
+					settled[e.Order.Task] = true
+				}
+			},
+		})
+		orders := make([]Order, tasks)
+		for i := range orders {
+			orders[i] = Order{Task: graph.TaskID{Job: "j", Index: i}, Run: 1}
+			a.Start(t.Context(), orders[i])
+		}
+		time.Sleep(100 * time.Millisecond)
+		mu.Lock()
+		before := starts
+		mu.Unlock()
+		for _, o := range orders {
+			a.Stop(t.Context(), o)
+		}
+		group.Wait()
+		assert.Assert(t, before < tasks/2)
+		assert.Equal(t, starts, before, "starts sent after their stops")
+		assert.Equal(t, len(settled), tasks)
+		assert.Equal(t, len(a.pendingStarts), 0)
+	})
+}
+
 // TestOrderGivenUp guards against slots that are lost when an order is given up while it
 // waits.
 func TestOrderGivenUp(t *testing.T) {
--- a/internal/lead/reports_test.go
+++ b/internal/lead/reports_test.go
@@ -153,6 +153,10 @@
 				<-ctx.Done()
 				return agent.Answer{}, ctx.Err()
 			}
+			l.Calls.Stop = func(ctx context.Context, _ agent.Target, _ agent.Order, _ int64) (agent.Answer, error) {
+				<-ctx.Done()
+				return agent.Answer{}, ctx.Err()
+			}
 			w, _ := l.placeTasks(t)
 			l.applyEvents(t)
 			start := func() {
