agent: a histogram of the time for which orders wait

Change: baobabquay_order_wait_seconds, one value an order. Whether the limits of slots.go suffice shows there.

--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Load pattern: a job with hundreds of small tasks on one worker is cancelled, or a wide
@@ -32,6 +35,9 @@
 	ordersPerSlot = 4
 )
 
+// orderWaitSeconds is the time for which an order waits for others to its worker.
+var orderWaitSeconds = metrics.NewHistogram("baobabquay_order_wait_seconds")
+
 // limit returns the number of orders that may be under way. The caller must hold mu.
 func (s *orderSlots) limit() int {
 	return min(max((s.active+len(s.waiting))/ordersPerSlot, minOrders), MaxOrders)
@@ -39,13 +45,14 @@
 
 // acquire waits until an order may be sent. The caller releases it after the answer.
 func (s *orderSlots) acquire(ctx context.Context) error {
-	ready := make(chan struct{})
+	ready, begun := make(chan struct{}), time.Now()
 	s.mu.Lock()
 	s.waiting = append(s.waiting, ready)
 	s.admit()
 	s.mu.Unlock()
 	select {
 	case <-ready:
+		orderWaitSeconds.Update(time.Since(begun).Seconds())
 		return nil
 	case <-ctx.Done():
 	}
