trial: check takes the locks in the order of the workers

Cause: harness.check held the lock of the harness and called TaskWorkers.Runs, while TaskWorkers.run held the lock of the workers and called harness.gangSize.

Change: check reads the runs before it takes its lock. It is the only place with that order: the other calls of the workers in the tests hold no lock.

--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -24,9 +24,10 @@
 // callers got, and returns all breaches so far. Each one starts with a label in
 // capitals that names its kind.
 func (h *harness) check() []string {
+	// The workers hold their lock while they ask the harness for the size of a gang.
+	runs := h.workers.Runs()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	runs := h.workers.Runs()
 	byTask := make(map[graph.TaskID][]fakes.TaskRun)
 	for _, r := range runs {
 		byTask[r.Task] = append(byTask[r.Task], r)
