elect: the instances of TestFormerBeforeLostAcquisitions end when they crash

Change: the stand-in for the term returns at once if the instance has crashed. What the test demands of the next term is unchanged.

--- a/internal/elect/former_test.go
+++ b/internal/elect/former_test.go
@@ -60,6 +60,9 @@
 		Table: table, Feed: s.table.Feed(), Self: Self{Instance: name, Incarnation: name + "-1", Peer: peer(n)},
 		Log: event.New(logr.Discard()),
 		Lead: func(ctx context.Context, t Term) error {
+			if ctx.Err() != nil {
+				return ctx.Err() // The instance has crashed.
+			}
 			s.led <- name
 			s.terms <- t
 			<-ctx.Done()
