agent: an idle worker is called while a start may still be on its way

The store was away, so that the list did not show the restart.

Fix: after a try of a start without an answer the worker is called as if it had runs, for 15 s, since late orders take up to 12 s. The open call ends when the worker crashes, and the retries, at most 0.4 s apart, bring the new token.

Open: a start of a former leader, whose successor does not know of it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,6 +94,9 @@
 		// unansweredStart reports whether a try of one of its starts had no answer.
 		pendingStarts   map[runKey]bool
 		unansweredStart bool
+		// lateUntil is the time until which the worker may carry out a start that it
+		// has not answered.
+		lateUntil time.Time
 		// leaseEnd is the latest end of the leases of the present incarnation.
 		leaseEnd Clock
 		// otherLeaseEnd is the latest end of the leases of another incarnation
@@ -173,6 +176,9 @@
 	// runEndMargin is the time that a worker may need to end its runs after
 	// their leases have expired.
 	runEndMargin = 250 * time.Millisecond
+	// lateOrderTime bounds the time after which an order without an answer is carried
+	// out. Orders have been seen to take up to 12 s.
+	lateOrderTime = 15 * time.Second
 	// tokensPerEpoch is the number of fencing tokens of a worker within an epoch.
 	tokensPerEpoch = 1000
 )
@@ -262,7 +268,7 @@
 }
 
 // SetExpectedRuns sets the number of runs that the scheduler expects on the
-// worker. Run calls the worker as long as it is positive.
+// worker. Run calls the worker as long as it is positive, or a start may be late.
 func (a *Agent) SetExpectedRuns(n int) {
 	a.mu.Lock()
 	changed := (n > 0) != (a.expectedRuns > 0)
@@ -327,7 +333,9 @@
 		return 0, true
 	case a.expectedRuns > 0 && a.inDoubt:
 		return doubtHoldWait, true
-	case a.expectedRuns > 0:
+	case a.expectedRuns > 0, time.Now().Before(a.lateUntil):
+		// A call that is open shows at once that the worker restarts. Its next
+		// incarnation has to see its fencing token before a late start arrives.
 		return min(maxHoldWait, a.Limits.Lease/3), true
 	}
 	// Run ends are stored and not acknowledged yet.
--- a/internal/agent/doc.go
+++ b/internal/agent/doc.go
@@ -4,7 +4,8 @@
 // An Agent tracks the worker's clock, the end of the leases that it has granted
 // and the number up to which run ends are acknowledged. As long as runs are
 // expected, its loop keeps one hold call open, which renews the leases and
-// returns when a run ends. A worker without runs is not called.
+// returns when a run ends. A worker without runs is not called, unless a start that
+// it has not answered may still be on its way.
 //
 // # Leases
 //
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -199,6 +199,8 @@
 	if a.generation == generation {
 		a.unansweredStart = true
 	}
+	a.lateUntil = time.Now().Add(lateOrderTime)
+	a.wakeLoop()
 }
 
 // Stop stops a run in a goroutine of its own. It retries until the worker
--- a/internal/trial/lateorders_test.go
+++ b/internal/trial/lateorders_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -86,3 +87,34 @@
 		}
 	}
 }
+
+// TestLateOrderWhileListUnreadable guards against a start that a worker carries out after a
+// restart while it was idle and the store away, so that the list does not show the restart:
+// the task, which was done, runs again.
+func TestLateOrderWhileListUnreadable(t *testing.T) {
+	for _, o := range outages {
+		for down := 200 * time.Millisecond; down <= 3*time.Second; down += 400 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s/%v", o.name, down), func(t *testing.T) {
+				runHarness(t, func(h *harness) {
+					const delay = 9 * time.Second
+					time.Sleep(2 * time.Second)
+					h.delayFirst(stepStart, delay)
+					h.submit(0, "normal", "ks", batchJob, graph.Step{Count: 1, Demand: gpu(2), Estimate: time.Second})
+					time.Sleep(4 * time.Second)
+					w := h.workers.Runs()[0].Worker
+					restore := h.startOutage(o.fault)
+					time.Sleep(500 * time.Millisecond)
+					h.workers.Crash(w)
+					time.Sleep(down)
+					h.bootWorker(w)
+					time.Sleep(5 * time.Second)
+					restore()
+					time.Sleep(5 * time.Second)
+					assert.Equal(t, len(h.workers.Runs()), 1, "the task runs again: %+v", h.workers.Runs())
+					assert.Equal(t, h.phase("normal", "ks", batchJob), "completed")
+					assert.DeepEqual(t, h.check(), []string(nil))
+				})
+			})
+		}
+	}
+}
