lead: a job has begun when a worker has accepted a task

Cause: Begun was set when the first start was sent, and nothing took it back when all starts were refused or not delivered. The phase of the job was shown as running for the same reason.

Fix: Begun is set when a worker has answered a start, lists a run or lists its end. The histogram of the time to the first start follows it.

Looked at alike: the other state that changes with the sending of a start is the capacity that it takes, which has to count from then on.

--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -204,16 +204,22 @@
 			Task: m.task, Run: p.run, Spec: p.job.progress.Job.Spec, Saved: saved,
 		})
 	}
-	if !p.job.progress.Begun {
-		firstStartSeconds.Update(now.Sub(p.job.progress.Job.Due(p.Unit.Occurrence)).Seconds())
-		p.job.progress.Begun = true
-		t.publishStatus(p.job)
-	}
 	t.logFirstStart()
 	t.Log.Write(event.UnitStarted, "job", string(p.job.progress.Job.ID), "step", p.Unit.Step,
 		"occurrence", p.Unit.Occurrence, "run", p.run, "tasks", len(p.members))
 }
 
+// markBegun records that a worker has accepted a task of p. A start that was sent may be
+// refused, so that the job still waits.
+func (t *term) markBegun(p *placement, now time.Time) {
+	if p.job.progress.Begun {
+		return
+	}
+	firstStartSeconds.Update(now.Sub(p.job.progress.Job.Due(p.Unit.Occurrence)).Seconds())
+	p.job.progress.Begun = true
+	t.publishStatus(p.job)
+}
+
 // preempt stops a placement to free capacity for another unit. plan.Decide has
 // already marked it as stopping, and has released its reservation or counted its
 // capacity as stopping. That is undone here, since stopPlacement does the same.
--- a/internal/lead/reports.go
+++ b/internal/lead/reports.go
@@ -33,6 +33,7 @@
 	case agent.Started:
 		if m := t.memberOf(w, e.Order); m != nil {
 			m.confirmedAt = e.At
+			t.markBegun(m.placement, e.At)
 		}
 	case agent.Refused:
 		return t.applyRefusal(w, e)
@@ -182,6 +183,7 @@
 		switch {
 		case m != nil && m.placement.run == end.Run:
 			m.endNumber = end.Number
+			t.markBegun(m.placement, time.Now())
 			t.endMember(m, end.Outcome, end.Saved)
 		default:
 			t.applyUnmatchedEnd(end)
@@ -231,6 +233,7 @@
 		if m.confirmedAt.IsZero() {
 			m.confirmedAt = now
 		}
+		t.markBegun(m.placement, now)
 		return m.idle() > m.stallLimit()/recheckShare
 	}
 	// A newer placement of the task may wait for what the run uses, so that its start cannot
--- a/internal/trial/failing_test.go
+++ b/internal/trial/failing_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabquay/baobabquay/internal/agent"
 	"github.com/baobabquay/baobabquay/internal/fakes"
 	"github.com/baobabquay/baobabquay/internal/graph"
 	"github.com/baobabquay/baobabquay/internal/pool"
@@ -135,3 +136,40 @@
 		assert.Equal(h.t, h.phase("normal", "ks", id), "completed", "job %s", id)
 	}
 }
+
+// TestRefusedJobWaits guards against a job that is not counted as waiting although no worker
+// has accepted a task of it: the workers refuse each start, or are lost before it arrives.
+func TestRefusedJobWaits(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		runHarness(t, func(h *harness) {
+			time.Sleep(2 * time.Second)
+			if lost {
+				for _, id := range []pool.WorkerID{"w1", "w2", "w3", "w4"} {
+					h.workers.Crash(id)
+				}
+			} else {
+				h.workers.Refuse(func(pool.WorkerID, agent.Order) string { return agent.RefusedRoom })
+			}
+			h.submit(0, "normal", "ks", batchJob, graph.Step{Count: 1, Demand: gpu(1), Estimate: time.Second})
+			waiting := func() int {
+				n, leads := h.leader().current().scheduler.Waiting("normal")
+				assert.Assert(t, leads)
+				return n
+			}
+			for range 10 {
+				time.Sleep(500 * time.Millisecond)
+				assert.Equal(t, waiting(), 1, "workers lost: %v", lost)
+			}
+			h.workers.Refuse(nil)
+			for _, id := range []pool.WorkerID{"w1", "w2", "w3", "w4"} {
+				if lost {
+					h.bootWorker(id)
+				}
+			}
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, waiting(), 0)
+			assert.Equal(t, h.phase("normal", "ks", batchJob), "completed")
+			assert.DeepEqual(t, h.check(), []string(nil))
+		})
+	}
+}
