agent, elect: golden files and a test that met two events at one instant

agent TestStart ended at 4.00 s, as a call of the worker begins since idle workers are called after a start without an answer: seen once in a run by hand.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -231,7 +231,7 @@
 				f.answerStart = c.answerStart
 				time.Sleep(time.Second)
 				f.agent.Start(t.Context(), newOrder(1))
-				time.Sleep(3 * time.Second)
+				time.Sleep(3050 * time.Millisecond)
 				f.assertGolden("start " + c.name + ".golden")
 			})
 		})
--- a/internal/elect/late_test.go
+++ b/internal/elect/late_test.go
@@ -183,6 +183,7 @@
 				}
 				_, wait := s.run(ctx)
 				s.firstSent()
+				synctest.Wait() // The store has carried the acquisition out.
 				if knows {
 					// The instance leads from the feed. The late answer comes after its
 					// successor has acquired the lease.
